--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# make demo   runs the embedded demonstration
+# make test   runs everything that CI runs
+# make bench  runs the benchmarks, which CI does not
+
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: demo build test lint generated bench
+
+demo: build
+	$(BIN)/fulmarrun demo
+
+build:
+	CGO_ENABLED=1 go build -o $(BIN)/fulmarrun ./cmd/fulmarrun
+
+test: lint generated
+	go vet ./...
+	CGO_ENABLED=1 go test -race -timeout 20m ./...
+
+$(LINT):
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+lint: $(LINT)
+	test -z "$$(gofmt -l .)"
+	$(LINT) run ./...
+
+# generated fails if the committed codecs differ from what the schema gives.
+generated:
+	go generate ./wire
+	git diff --exit-code -- wire
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/wire/schema.go
@@ -0,0 +1,280 @@
+package wire
+
+import (
+	"net/netip"
+	"time"
+)
+
+//go:generate go tool msgp -file schema.go -o schema_gen.go -tests=false -io=false
+
+//msgp:shim Generation as:uint64 using:uint64/Generation
+//msgp:shim Outcome as:uint8 using:uint8/Outcome
+//msgp:shim State as:uint8 using:uint8/State
+//msgp:shim netip.AddrPort as:string using:addrPortString/addrPortParse mode:convert
+//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey Memory Record Version Vote Verdict
+
+// Generation identifies one incarnation of a daemon. It is random and never
+// zero; a restarted daemon has a new one.
+type Generation uint64
+
+// Heartbeat is the only datagram: it asks a witness to renew a lease, or
+// answers such a request.
+type Heartbeat struct {
+	// Answer is false in a request and true in the witness's renewal.
+	Answer bool
+	// From is the generation that sends this datagram.
+	From Generation
+	// To is the generation that it is meant for; any other drops it.
+	To Generation
+	// Seq numbers the holder's heartbeats; a renewal repeats it.
+	Seq uint32
+	// Digest summarizes the sender's rows, so that a difference is noticed.
+	Digest uint64
+}
+
+// Header is one HTTP header line.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Request is a caller's request on its way from the daemon that received it to
+// the owner of its key.
+type Request struct {
+	Service string
+	Kind    string
+	Key     string
+	// ID is the idempotency key, from the caller or made at ingress.
+	ID string
+	// Fresh is true if ID was made at ingress and this is its first forward, so
+	// that no other attempt with this ID can exist.
+	Fresh bool
+	// Wait is what is left of the time the caller may be kept waiting.
+	Wait time.Duration
+	// Depth counts the nested calls above this one.
+	Depth  uint8
+	Method string
+	// Path is the path and query as the target is to see them.
+	Path    string
+	Headers []Header
+	Body    []byte
+}
+
+// Outcome states what is known about the execution of a request.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown means that the request may or may not have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAnswered means that the target's whole answer is attached.
+	OutcomeAnswered
+	// OutcomeNotRun means that no byte of the request reached a target.
+	OutcomeNotRun
+)
+
+// Response is the final answer to a Request.
+type Response struct {
+	Outcome Outcome
+	Status  uint16
+	// Reason is a short machine-readable word for a refusal or an unknown.
+	Reason string
+	// RetryAfter tells when to come back; zero where that is of no use.
+	RetryAfter time.Duration
+	// Moved is true if the sender does not own the key; the receiver may route
+	// the request again, since it was not run.
+	Moved   bool
+	Headers []Header
+	Body    []byte
+}
+
+// Cancel ends interest in the request frame with the same frame ID.
+type Cancel struct {
+	Reason string
+}
+
+// State is where a daemon stands in its life.
+type State uint8
+
+const (
+	// StateActive means that the daemon takes part in everything.
+	StateActive State = iota
+	// StateLeaving means that the daemon gives its slots away.
+	StateLeaving
+	// StateClosed means that the generation is ended for ever.
+	StateClosed
+)
+
+// Member is the row of one generation of a daemon.
+type Member struct {
+	Instance   string         `msg:"i"`
+	Generation Generation     `msg:"g"`
+	Service    string         `msg:"s"`
+	Region     string         `msg:"r"`
+	Domain     string         `msg:"d"`
+	Peer       netip.AddrPort `msg:"p"`
+	Caller     netip.AddrPort `msg:"c"`
+	Witnesses  []Generation   `msg:"w"`
+	State      State          `msg:"t"`
+	// Heirs share the slots of a closed generation by rendezvous hashing.
+	Heirs []Generation `msg:"h"`
+	// Joined is when this generation wrote its first row.
+	Joined time.Time `msg:"j"`
+	// Change is the request ID of the write that made this version.
+	Change string `msg:"x"`
+	// Reason says why the last change was made.
+	Reason string `msg:"y"`
+}
+
+// Slot is the ownership of one slot.
+type Slot struct {
+	// Owner is zero while the slot is unassigned.
+	Owner Generation
+	Epoch uint64
+}
+
+// HotKey is the ownership of one key that is apart from its slot.
+type HotKey struct {
+	Key   string
+	Owner Generation
+	Epoch uint64
+}
+
+// Slots is the row of a range of slots of one service.
+type Slots struct {
+	Service string   `msg:"s"`
+	First   uint32   `msg:"f"`
+	Slots   []Slot   `msg:"e"`
+	Hot     []HotKey `msg:"h"`
+	Change  string   `msg:"x"`
+}
+
+// Current is the row that says which configuration is in force.
+type Current struct {
+	Number uint64    `msg:"n"`
+	Digest string    `msg:"d"`
+	Author string    `msg:"a"`
+	At     time.Time `msg:"t"`
+	// Sections are the digests of the objects that make up the file, in order.
+	Sections []string `msg:"o"`
+	Change   string   `msg:"x"`
+	// Recent holds the latest accepted changes, newest first, so that a lost
+	// reply can be settled after a later change won.
+	Recent []Accepted `msg:"l"`
+}
+
+// Accepted is one accepted change of configuration.
+type Accepted struct {
+	Number uint64 `msg:"n"`
+	Change string `msg:"x"`
+}
+
+// Row is a row of the platform's table with its version.
+type Row struct {
+	Key     string `msg:"k"`
+	Version uint64 `msg:"v"`
+	Value   []byte `msg:"d"`
+	Deleted bool   `msg:"r"`
+}
+
+// Rows carries rows from one daemon to another.
+type Rows struct {
+	From Generation `msg:"f"`
+	Rows []Row      `msg:"r"`
+}
+
+// Version names a row and the version that the sender has of it.
+type Version struct {
+	Key     string
+	Version uint64
+}
+
+// Summary holds one digest for each bucket of the sender's rows.
+type Summary struct {
+	From    Generation `msg:"f"`
+	Buckets []uint64   `msg:"b"`
+	// Config is the configuration number in force at the sender.
+	Config uint64 `msg:"c"`
+}
+
+// Versions lists the rows that the sender has in the named buckets. The answer
+// is Rows with whatever is newer at the receiver.
+type Versions struct {
+	From    Generation `msg:"f"`
+	Buckets []uint32   `msg:"b"`
+	Have    []Version  `msg:"v"`
+}
+
+// Fetch asks a daemon for an object of the configuration.
+type Fetch struct {
+	Digest string `msg:"d"`
+}
+
+// Object answers Fetch; Data is empty if the object is not held.
+type Object struct {
+	Data []byte `msg:"d"`
+}
+
+// Vote asks a witness to testify that a lease has run out.
+type Vote struct {
+	From Generation
+	// Holder is the generation whose lease is in question.
+	Holder Generation
+}
+
+// Verdict answers Vote. Expired true binds the witness.
+type Verdict struct {
+	Holder  Generation
+	Expired bool
+	// Wait is how long the witness is still bound by its last renewal.
+	Wait time.Duration
+}
+
+// Record is what an owner remembers of one request ID.
+type Record struct {
+	ID      string
+	Outcome Outcome
+	// Done is false while the request runs.
+	Done    bool
+	At      time.Time
+	Status  uint16
+	Headers []Header
+	Body    []byte
+}
+
+// Memory hands an owner's records of one slot, or of one hot key, to the next.
+type Memory struct {
+	Service string
+	Slot    uint32
+	// Hot is the hot key; empty for the whole slot.
+	Hot   string
+	Epoch uint64
+	// Since is the time before which an ID without a record may have run.
+	Since   time.Time
+	Records []Record
+}
+
+// Ack answers a message that needs no other answer.
+type Ack struct {
+	OK     bool   `msg:"o"`
+	Reason string `msg:"r"`
+}
+
+// Status is what one daemon says about itself to an operator.
+type Status struct {
+	Instance   string        `msg:"i"`
+	Generation Generation    `msg:"g"`
+	Service    string        `msg:"s"`
+	Domain     string        `msg:"d"`
+	State      State         `msg:"t"`
+	Config     uint64        `msg:"c"`
+	Lease      time.Duration `msg:"l"`
+	Slots      int           `msg:"n"`
+	InFlight   int           `msg:"f"`
+	Queued     int           `msg:"q"`
+	Limit      int           `msg:"m"`
+}
+
+// Query asks a daemon for its Status.
+type Query struct {
+	From Generation `msg:"f"`
+}
