--- /dev/null
+++ b/admission/baseline.go
@@ -0,0 +1,140 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// bucketSize is the number of samples that close a bucket.
+	bucketSize = 64
+	// bucketMin is the number of samples from which a mean is used.
+	bucketMin = 8
+	// bucketCount is the number of closed buckets that are kept.
+	bucketCount = 6
+	// bucketTTL is how long a closed bucket counts.
+	bucketTTL = time.Minute
+)
+
+// sample sums up latencies.
+type sample struct {
+	count int
+	sum   float64
+	sumSq float64
+	least float64
+}
+
+// add takes one latency in, in nanoseconds.
+func (s *sample) add(latency float64) {
+	if s.count == 0 || latency < s.least {
+		s.least = latency
+	}
+	s.count++
+	s.sum += latency
+	s.sumSq += latency * latency
+}
+
+// mean returns the mean latency in nanoseconds; zero without samples.
+func (s *sample) mean() float64 {
+	if s.count == 0 {
+		return 0
+	}
+	return s.sum / float64(s.count)
+}
+
+// variation returns the standard deviation as a share of the mean.
+func (s *sample) variation() float64 {
+	mean := s.mean()
+	if s.count < 2 || mean <= 0 {
+		return 0
+	}
+	variance := s.sumSq/float64(s.count) - mean*mean
+	return math.Sqrt(max(variance, 0)) / mean
+}
+
+// bucket is a closed sample and when it was closed.
+type bucket struct {
+	sample
+	at time.Time
+}
+
+// Baseline is the target's own best latency: the lowest mean of the buckets of
+// the last minute. Only samples that began while the target was lightly loaded
+// may be added, so that overload does not become the measure of itself.
+type Baseline struct {
+	open   sample
+	closed [bucketCount]bucket
+	next   int
+	// best is the lowest bucket; it outlives its bucket until another closes.
+	best bucket
+}
+
+// Add takes in the latency of a request that began under light load.
+func (b *Baseline) Add(latency time.Duration, now time.Time) {
+	b.open.add(float64(latency))
+	if b.open.count >= bucketSize {
+		b.close(now)
+	}
+}
+
+// Mean returns the baseline; zero while too little is known.
+func (b *Baseline) Mean() time.Duration {
+	return time.Duration(b.reference().mean())
+}
+
+// Variation returns the standard deviation of the baseline's latencies as a
+// share of their mean.
+func (b *Baseline) Variation() float64 {
+	return b.reference().variation()
+}
+
+// Least returns the least latency in the baseline's bucket.
+func (b *Baseline) Least() time.Duration {
+	return time.Duration(b.reference().least)
+}
+
+// Stale reports whether the baseline is older than its window and should be
+// measured anew.
+func (b *Baseline) Stale(now time.Time) bool {
+	return b.best.count > 0 && now.Sub(b.best.at) > bucketTTL
+}
+
+// Reset forgets everything.
+func (b *Baseline) Reset() {
+	*b = Baseline{}
+}
+
+// Refresh closes the open bucket early if it holds enough to be used.
+func (b *Baseline) Refresh(now time.Time) {
+	if b.open.count >= bucketMin {
+		b.close(now)
+	}
+}
+
+// reference returns the sample that the baseline is read from.
+func (b *Baseline) reference() *sample {
+	if b.best.count > 0 {
+		return &b.best.sample
+	}
+	if b.open.count >= bucketMin {
+		return &b.open
+	}
+	return &sample{}
+}
+
+// close stores the open bucket and chooses the best again.
+func (b *Baseline) close(now time.Time) {
+	b.closed[b.next] = bucket{sample: b.open, at: now}
+	b.next = (b.next + 1) % bucketCount
+	b.open = sample{}
+	b.best = bucket{}
+	for i := range b.closed {
+		c := &b.closed[i]
+		if c.count == 0 || now.Sub(c.at) > bucketTTL {
+			continue
+		}
+		if b.best.count == 0 || c.mean() < b.best.mean() {
+			b.best = *c
+		}
+	}
+}
--- /dev/null
+++ b/admission/core.go
@@ -0,0 +1,501 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// defaultSpare is the share of the limit up to which patient requests enter.
+	defaultSpare = 0.75
+	// busyLoad is the reported load from which patient requests stay out.
+	busyLoad = 0.75
+	// weight is the part that one completion has in the mean latency.
+	weight = 1.0 / 16
+)
+
+// WithSpare is a functional option that sets the share of the limit up to which
+// patient requests enter.
+func WithSpare(share float64) Option {
+	return func(s *settings) { s.spare = share }
+}
+
+// Slot stands for one admitted request. The zero Slot stands for none.
+type Slot struct {
+	index uint32
+	turn  uint32
+}
+
+// occupant is what the Core keeps of one request in flight.
+type occupant struct {
+	turn  uint32
+	busy  bool
+	depth uint8
+	began Began
+	at    time.Time
+}
+
+// Verdict is what became of a request.
+type Verdict uint8
+
+const (
+	// Refused means that Decision.Refusal is the final answer.
+	Refused Verdict = iota
+	// Admitted means that Decision.Slot is taken.
+	Admitted
+	// Waiting means that a later Decision with the same ID follows.
+	Waiting
+)
+
+// Decision answers a request.
+type Decision struct {
+	Verdict Verdict
+	// Slot is to be given back with Done.
+	Slot Slot
+	// ID names a request that waits or has waited.
+	ID uint64
+	// Cutoff is when a request that waits can no longer make its deadline; zero
+	// if it has none.
+	Cutoff  time.Time
+	Refusal Refusal
+}
+
+// Stats is a snapshot of the state.
+type Stats struct {
+	InFlight int
+	Queued   int
+	// Limit is the number of requests that may be in flight, reports included.
+	Limit int
+	// Proven is the greatest number that the target was lately seen to bear.
+	Proven int
+	// Latency is the mean latency of recent answers.
+	Latency time.Duration
+	// Baseline is the target's own best latency.
+	Baseline time.Duration
+	// Admitted, Refused and Shed count requests from the beginning.
+	Admitted uint64
+	Refused  uint64
+	Shed     uint64
+	Paused   bool
+	Draining bool
+}
+
+// Core decides on admission to one target. It is driven by messages and their
+// time, and is not safe for concurrent use.
+//
+// After each message but Enter the caller takes the decisions on waiting
+// requests with Next until there is none.
+type Core struct {
+	set     settings
+	limiter Limiter
+	reserve Reserve
+	urgent  Queue
+	patient Queue
+	// deep counts the nested requests that wait.
+	deep int
+
+	occupants []occupant
+	vacant    []uint32
+	// latency is the mean of recent answers in nanoseconds.
+	latency float64
+	health  report
+	paused  bool
+	closed  bool
+	prune   bool
+	lastID  uint64
+	random  *rand.Rand
+	stats   Stats
+}
+
+// NewCore returns a Core for a target of which nothing is known.
+func NewCore(opts ...Option) *Core {
+	s := newSettings(opts)
+	return &Core{
+		set:     s,
+		limiter: newLimiter(&s),
+		reserve: newReserve(&s),
+		urgent:  NewQueue(s.order),
+		patient: NewQueue(s.order),
+		random:  rand.New(rand.NewPCG(s.seed, s.seed)),
+	}
+}
+
+// Enter decides on a new request.
+func (c *Core) Enter(t Ticket, now time.Time) Decision {
+	if c.set.classify != nil {
+		t = c.set.classify(t)
+	}
+	if refusal, refused := c.unfit(&t, now); refused {
+		return c.refuse(0, refusal)
+	}
+	c.reserve.Ask(t.Depth, now)
+	if c.vacancy(&t, now) {
+		if c.reserve.InFlight() > 0 && t.missed(now, c.limiter.Least()) {
+			return c.refuse(0, c.refusal(ReasonDeadline))
+		}
+		return c.admit(&t, 0, now)
+	}
+	return c.wait(t, now)
+}
+
+// unfit refuses what is not even considered.
+func (c *Core) unfit(t *Ticket, now time.Time) (Refusal, bool) {
+	switch {
+	case c.closed:
+		return c.away(ReasonClosed), true
+	case c.health.Draining:
+		return c.away(ReasonDraining), true
+	case t.Depth > c.set.maxDepth:
+		return Refusal{Reason: ReasonDepth}, true
+	case t.missed(now, 0):
+		return c.refusal(ReasonDeadline), true
+	}
+	return Refusal{}, false
+}
+
+// vacancy reports whether a new request may enter right now.
+func (c *Core) vacancy(t *Ticket, now time.Time) bool {
+	if c.paused {
+		return false
+	}
+	if t.Class == Patient {
+		return c.urgent.Len() == 0 && c.patient.Len() == 0 && c.spare(now) && c.reserve.Admits(c.Limit(now), t.Depth, now)
+	}
+	if c.urgent.Len() > 0 && (t.Depth == 0 || c.deep > 0) {
+		return false
+	}
+	return c.reserve.Admits(c.Limit(now), t.Depth, now)
+}
+
+// spare reports whether there is room for a patient request: work in flight
+// clearly under the limit and latency near the baseline, or nothing in flight
+// at all, so that stale measurements can't keep patient work out for ever.
+func (c *Core) spare(now time.Time) bool {
+	inFlight := c.reserve.InFlight()
+	if inFlight == 0 {
+		return true
+	}
+	if c.health.current(now).Load > busyLoad {
+		return false
+	}
+	room := int(c.set.spare * float64(c.reserve.Capacity(c.Limit(now), 0, now)))
+	return inFlight < room && c.limiter.Near(time.Duration(c.latency))
+}
+
+// wait queues a request that can make its deadline.
+func (c *Core) wait(t Ticket, now time.Time) Decision {
+	if c.urgent.Len()+c.patient.Len() >= c.set.queue {
+		return c.refuse(0, c.refusal(ReasonFull))
+	}
+	queue := c.queueOf(t.Class)
+	w := Waiter{Ticket: t, ID: c.lastID + 1}
+	if c.hopeless(&t, queue.Ahead(&w), now) {
+		return c.refuse(0, c.refusal(ReasonDeadline))
+	}
+	c.lastID++
+	queue.Push(w)
+	if t.Depth > 0 {
+		c.deep++
+	}
+	return Decision{Verdict: Waiting, ID: w.ID, Cutoff: c.cutoff(&t)}
+}
+
+// hopeless reports whether a request with so many ahead of it can't make its
+// deadline at the measured speed.
+func (c *Core) hopeless(t *Ticket, ahead int, now time.Time) bool {
+	service := c.limiter.Least()
+	if !c.paused {
+		service += c.drain(ahead + 1)
+	}
+	return t.missed(now, service)
+}
+
+// cutoff returns when a request can no longer make its deadline, even if it
+// were next.
+func (c *Core) cutoff(t *Ticket) time.Time {
+	if t.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return t.Deadline.Add(-c.limiter.Least())
+}
+
+// drain returns the time in which so many requests leave the queue.
+func (c *Core) drain(count int) time.Duration {
+	return time.Duration(c.latency * float64(count) / float64(max(c.limiter.Limit(), 1)))
+}
+
+// Done takes back a slot. It reports false, and does nothing, if the slot was
+// given back before.
+func (c *Core) Done(slot Slot, done Completion, now time.Time) bool {
+	if int(slot.index) >= len(c.occupants) {
+		return false
+	}
+	o := &c.occupants[slot.index]
+	if !o.busy || o.turn != slot.turn {
+		return false
+	}
+	if c.set.judge != nil {
+		done = c.set.judge(done)
+	}
+	if done.Latency == 0 {
+		done.Latency = now.Sub(o.at)
+	}
+	c.measure(done)
+	limit := c.limiter.Limit()
+	c.limiter.End(o.began, done, now)
+	c.prune = c.prune || c.limiter.Limit() < limit
+	c.reserve.Leave(o.depth)
+	o.busy = false
+	c.vacant = append(c.vacant, slot.index)
+	return true
+}
+
+// measure keeps the mean latency and the counters.
+func (c *Core) measure(done Completion) {
+	switch done.Result {
+	case Shed:
+		c.stats.Shed++
+	case OK:
+		if c.latency == 0 {
+			c.latency = float64(done.Latency)
+		}
+		c.latency += (float64(done.Latency) - c.latency) * weight
+	case Failed, Cancelled:
+	}
+}
+
+// Leave withdraws a request that waits. It reports false if the request does
+// not wait any more, since it was decided on.
+func (c *Core) Leave(id uint64) bool {
+	w, ok := c.remove(id)
+	if ok {
+		c.forget(&w)
+	}
+	return ok
+}
+
+// Expire decides on a request whose cutoff has come. The verdict is Waiting
+// with a new cutoff if the request may still make its deadline; ok is false if
+// it does not wait any more.
+func (c *Core) Expire(id uint64, now time.Time) (d Decision, ok bool) {
+	w := c.find(id)
+	if w == nil {
+		return Decision{}, false
+	}
+	cutoff := c.cutoff(&w.Ticket)
+	if cutoff.IsZero() || now.Before(cutoff) {
+		return Decision{Verdict: Waiting, ID: id, Cutoff: cutoff}, true
+	}
+	c.Leave(id)
+	return c.refuse(id, c.refusal(ReasonDeadline)), true
+}
+
+// Next returns the next decision on a waiting request, if there is one to make.
+func (c *Core) Next(now time.Time) (Decision, bool) {
+	if c.urgent.Len() == 0 && c.patient.Len() == 0 {
+		c.prune = false
+		return Decision{}, false
+	}
+	if c.closed || c.health.Draining {
+		return c.evict()
+	}
+	if w, ok := c.expired(now); ok {
+		return c.refuse(w.ID, c.refusal(ReasonDeadline)), true
+	}
+	if c.paused {
+		return Decision{}, false
+	}
+	if w, ok := c.ready(now); ok {
+		return c.admit(&w.Ticket, w.ID, now), true
+	}
+	return Decision{}, false
+}
+
+// evict refuses a waiting request because the target goes.
+func (c *Core) evict() (Decision, bool) {
+	reason := ReasonDraining
+	if c.closed {
+		reason = ReasonClosed
+	}
+	w, ok := c.take(&c.urgent, always)
+	if !ok {
+		w, ok = c.take(&c.patient, always)
+	}
+	return c.refuse(w.ID, c.away(reason)), ok
+}
+
+func always(*Waiter) bool { return true }
+
+// expired removes a request that can't make its deadline any more. All are
+// looked at after the limit has fallen; else only those that are next, since
+// the others have their cutoff.
+func (c *Core) expired(now time.Time) (Waiter, bool) {
+	for _, queue := range [...]*Queue{&c.urgent, &c.patient} {
+		if w, ok := c.take(queue, c.late(queue, now)); ok {
+			return w, true
+		}
+	}
+	c.prune = false
+	return Waiter{}, false
+}
+
+// late returns what tells the requests of a queue that are too late, if it is
+// asked about them in order.
+func (c *Core) late(queue *Queue, now time.Time) func(*Waiter) bool {
+	if !c.prune {
+		next := queue.First()
+		if next == nil || !next.missed(now, c.limiter.Least()) {
+			return nil
+		}
+		return always
+	}
+	ahead := -1
+	return func(w *Waiter) bool {
+		ahead++
+		return c.hopeless(&w.Ticket, ahead, now)
+	}
+}
+
+// ready removes the first request that may enter.
+func (c *Core) ready(now time.Time) (Waiter, bool) {
+	limit := c.Limit(now)
+	if c.urgent.Len() > 0 {
+		if c.deep == 0 && !c.reserve.Admits(limit, 0, now) {
+			return Waiter{}, false
+		}
+		return c.take(&c.urgent, func(w *Waiter) bool {
+			return c.reserve.Admits(limit, w.Depth, now)
+		})
+	}
+	if !c.spare(now) {
+		return Waiter{}, false
+	}
+	return c.take(&c.patient, func(w *Waiter) bool {
+		return c.reserve.Admits(limit, w.Depth, now)
+	})
+}
+
+func (c *Core) take(queue *Queue, ready func(*Waiter) bool) (Waiter, bool) {
+	if ready == nil {
+		return Waiter{}, false
+	}
+	w, ok := queue.Next(ready)
+	if ok {
+		c.forget(&w)
+	}
+	return w, ok
+}
+
+// forget stops counting a request that has left its queue.
+func (c *Core) forget(w *Waiter) {
+	if w.Depth > 0 {
+		c.deep--
+	}
+}
+
+func (c *Core) remove(id uint64) (Waiter, bool) {
+	if w, ok := c.urgent.Remove(id); ok {
+		return w, true
+	}
+	return c.patient.Remove(id)
+}
+
+func (c *Core) find(id uint64) *Waiter {
+	if w := c.urgent.Find(id); w != nil {
+		return w
+	}
+	return c.patient.Find(id)
+}
+
+// admit takes a slot.
+func (c *Core) admit(t *Ticket, id uint64, now time.Time) Decision {
+	c.reserve.Enter(t.Depth)
+	inFlight := c.reserve.InFlight()
+	full := inFlight >= c.reserve.Capacity(c.limiter.Limit(), 0, now)
+	began := c.limiter.Begin(inFlight, full, now)
+	c.stats.Admitted++
+	return Decision{Verdict: Admitted, ID: id, Slot: c.occupy(occupant{depth: t.Depth, began: began, at: now})}
+}
+
+func (c *Core) occupy(o occupant) Slot {
+	if len(c.vacant) == 0 {
+		c.vacant = append(c.vacant, uint32(len(c.occupants)))
+		c.occupants = append(c.occupants, occupant{})
+	}
+	index := c.vacant[len(c.vacant)-1]
+	c.vacant = c.vacant[:len(c.vacant)-1]
+	o.busy, o.turn = true, c.occupants[index].turn+1
+	c.occupants[index] = o
+	return Slot{index: index, turn: o.turn}
+}
+
+func (c *Core) refuse(id uint64, r Refusal) Decision {
+	c.stats.Refused++
+	return Decision{Verdict: Refused, ID: id, Refusal: r}
+}
+
+// refusal tells the caller to come back when the queue has drained.
+func (c *Core) refusal(reason string) Refusal {
+	wait := c.drain(c.urgent.Len() + c.reserve.InFlight() + 1)
+	return Refusal{Reason: reason, RetryAfter: jitter(wait, c.random)}
+}
+
+// away tells the caller to come back when another target may have taken over.
+func (c *Core) away(reason string) Refusal {
+	return Refusal{Reason: reason, RetryAfter: jitter(absence, c.random)}
+}
+
+func (c *Core) queueOf(class Class) *Queue {
+	if class == Patient {
+		return &c.patient
+	}
+	return &c.urgent
+}
+
+// Limit returns the number of requests that may be in flight, lowered by what
+// the target reports.
+func (c *Core) Limit(now time.Time) int {
+	limit := c.limiter.Limit()
+	health := c.health.current(now)
+	if health.Unready {
+		limit = min(limit, c.set.start)
+	}
+	if health.Limit > 0 {
+		limit = min(limit, health.Limit)
+	}
+	return limit
+}
+
+// Report takes in what the target says of itself.
+func (c *Core) Report(h Health, now time.Time) {
+	c.health = report{Health: h, at: now}
+}
+
+// Pause admits nothing until Resume. What can still make its deadline waits.
+func (c *Core) Pause() {
+	c.paused = true
+}
+
+// Resume ends a Pause.
+func (c *Core) Resume() {
+	c.paused = false
+}
+
+// Close refuses everything from now on, also what waits.
+func (c *Core) Close() {
+	c.closed = true
+}
+
+// Stats returns a snapshot.
+func (c *Core) Stats(now time.Time) Stats {
+	s := c.stats
+	s.InFlight = c.reserve.InFlight()
+	s.Queued = c.urgent.Len() + c.patient.Len()
+	s.Limit = c.Limit(now)
+	s.Proven = c.limiter.Proven()
+	s.Latency = time.Duration(c.latency)
+	s.Baseline = c.limiter.Baseline()
+	s.Paused = c.paused
+	s.Draining = c.closed || c.health.Draining
+	return s
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,141 @@
+package admission
+
+import "sort"
+
+// defaultQueue is the greatest number of requests that wait.
+const defaultQueue = 512
+
+// WithQueue is a functional option that sets the greatest number of requests
+// that wait.
+func WithQueue(size int) Option {
+	return func(s *settings) { s.queue = size }
+}
+
+// WithOrder is a functional option that sets which waiting request is next.
+func WithOrder(order Order) Option {
+	return func(s *settings) { s.order = order }
+}
+
+// Waiter is a request in a Queue.
+type Waiter struct {
+	Ticket
+	// ID numbers the requests that have waited, in order of arrival.
+	ID uint64
+}
+
+// Order reports whether a goes before b. Requests of which neither goes before
+// the other go in order of arrival.
+type Order func(a, b *Waiter) bool
+
+// EarliestDeadline is the Order by what waiting still allows.
+func EarliestDeadline(a, b *Waiter) bool {
+	if a.Deadline.IsZero() || b.Deadline.IsZero() {
+		return b.Deadline.IsZero() && !a.Deadline.IsZero()
+	}
+	return a.Deadline.Before(b.Deadline)
+}
+
+// FirstIn is the Order of arrival.
+func FirstIn(_, _ *Waiter) bool {
+	return false
+}
+
+// LastIn is the reverse Order of arrival. While there is no overload hardly
+// anything waits, and it makes no difference.
+func LastIn(a, b *Waiter) bool {
+	return a.ID > b.ID
+}
+
+// GreatestValue is the Order by value alone, blind to deadlines.
+func GreatestValue(a, b *Waiter) bool {
+	return a.Value > b.Value
+}
+
+// Queue holds waiting requests in an Order.
+type Queue struct {
+	order Order
+	// waiters is sorted with the next one last.
+	waiters []Waiter
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue(order Order) Queue {
+	return Queue{order: order}
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int {
+	return len(q.waiters)
+}
+
+// Ahead returns the number of requests that go before w.
+func (q *Queue) Ahead(w *Waiter) int {
+	return len(q.waiters) - q.search(w)
+}
+
+// Push adds a request.
+func (q *Queue) Push(w Waiter) {
+	i := q.search(&w)
+	q.waiters = append(q.waiters, Waiter{})
+	copy(q.waiters[i+1:], q.waiters[i:])
+	q.waiters[i] = w
+}
+
+// First returns the request that goes before all others, or nil.
+func (q *Queue) First() *Waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	return &q.waiters[len(q.waiters)-1]
+}
+
+// Next removes and returns the first request that satisfies ready.
+func (q *Queue) Next(ready func(*Waiter) bool) (Waiter, bool) {
+	for i := len(q.waiters) - 1; i >= 0; i-- {
+		if ready(&q.waiters[i]) {
+			return q.removeAt(i), true
+		}
+	}
+	return Waiter{}, false
+}
+
+// Remove removes the request with this ID.
+func (q *Queue) Remove(id uint64) (Waiter, bool) {
+	for i := range q.waiters {
+		if q.waiters[i].ID == id {
+			return q.removeAt(i), true
+		}
+	}
+	return Waiter{}, false
+}
+
+// Find returns the request with this ID, or nil.
+func (q *Queue) Find(id uint64) *Waiter {
+	for i := range q.waiters {
+		if q.waiters[i].ID == id {
+			return &q.waiters[i]
+		}
+	}
+	return nil
+}
+
+// search returns the index at which w belongs.
+func (q *Queue) search(w *Waiter) int {
+	return sort.Search(len(q.waiters), func(i int) bool {
+		return q.before(&q.waiters[i], w)
+	})
+}
+
+func (q *Queue) before(a, b *Waiter) bool {
+	if q.order(a, b) {
+		return true
+	}
+	return !q.order(b, a) && a.ID < b.ID
+}
+
+func (q *Queue) removeAt(i int) Waiter {
+	w := q.waiters[i]
+	copy(q.waiters[i:], q.waiters[i+1:])
+	q.waiters = q.waiters[:len(q.waiters)-1]
+	return w
+}
