--- /dev/null
+++ b/platformstub/stub.go
@@ -0,0 +1,283 @@
+package platformstub
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"fulmarrun/platform"
+)
+
+// errLimited is the cause of a call that was above the rate.
+var errLimited = errors.New("above the rate")
+
+// Counts are the calls that reached the stub and were carried out, or refused
+// for their rate.
+type Counts struct {
+	// Reads counts gets, lists and transactions without a write.
+	Reads uint64 `json:"reads"`
+	// Writes counts transactions with a write and stored objects.
+	Writes uint64 `json:"writes"`
+	// Limited counts the calls above the rate.
+	Limited uint64 `json:"limited"`
+}
+
+// Stub is an in-memory table and object store. Its methods are safe for
+// concurrent use.
+type Stub struct {
+	now   func() time.Time
+	sleep func(context.Context, time.Duration) error
+	after func(time.Duration, func())
+	apply func(platform.Transaction)
+
+	mu      sync.Mutex
+	table   table
+	objects objects
+	faults  Faults
+	counts  Counts
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	random  *rand.Rand
+}
+
+// Option configures a Stub.
+type Option func(*Stub)
+
+// WithSeed is a functional option that seeds the choice of lost and late writes.
+func WithSeed(seed uint64) Option {
+	return func(s *Stub) { s.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// WithClock is a functional option that replaces the clock of the rate limits
+// and of Answered.
+func WithClock(now func() time.Time) Option {
+	return func(s *Stub) { s.now = now }
+}
+
+// WithSleep is a functional option that replaces the wait for the latency.
+func WithSleep(sleep func(context.Context, time.Duration) error) Option {
+	return func(s *Stub) { s.sleep = sleep }
+}
+
+// WithAfter is a functional option that replaces the timer of late writes.
+func WithAfter(after func(time.Duration, func())) Option {
+	return func(s *Stub) { s.after = after }
+}
+
+// WithApply is a functional option that names a function to be told of each
+// transaction at the moment it is applied. It must not call the stub.
+func WithApply(apply func(platform.Transaction)) Option {
+	return func(s *Stub) { s.apply = apply }
+}
+
+// WithFaults is a functional option that sets the faults to begin with.
+func WithFaults(f Faults) Option {
+	return func(s *Stub) { s.faults = f }
+}
+
+// New returns an empty Stub.
+func New(opts ...Option) *Stub {
+	s := &Stub{
+		now:     time.Now,
+		sleep:   platform.Sleep,
+		after:   func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+		apply:   func(platform.Transaction) {},
+		table:   newTable(),
+		objects: newObjects(),
+	}
+	WithSeed(1)(s)
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.SetFaults(s.faults)
+	return s
+}
+
+// Store returns a store that calls the stub in process. Each has an Answered of
+// its own.
+func (s *Stub) Store() *platform.Store {
+	return platform.Track(&platform.Store{
+		Get:         s.get,
+		List:        s.list,
+		Transact:    s.transact,
+		PutObject:   s.putObject,
+		GetObject:   s.getObject,
+		ListObjects: s.listObjects,
+	}, s.now)
+}
+
+// SetFaults replaces the faults in force.
+func (s *Stub) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.reads = limiter(f.Reads)
+	s.writes = limiter(f.Writes)
+}
+
+// Faults returns the faults in force, with what is left of the next lost and
+// late writes.
+func (s *Stub) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the counts since the start.
+func (s *Stub) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Stub) get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	var ok bool
+	err := s.read(ctx, func() { row, ok = s.table.get(key) })
+	return row, missing(err, ok)
+}
+
+func (s *Stub) list(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := s.read(ctx, func() { rows = s.table.list(prefix, after, limit) })
+	return rows, err
+}
+
+func (s *Stub) transact(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+	var result platform.Result
+	run := func() {
+		result = s.table.transact(tx)
+		if result.Applied {
+			s.apply(tx)
+		}
+	}
+	carry := s.write
+	if len(tx.Writes) == 0 {
+		carry = s.read
+	}
+	if err := carry(ctx, run); err != nil {
+		return platform.Result{}, err
+	}
+	return result, nil
+}
+
+func (s *Stub) putObject(ctx context.Context, name string, data []byte) error {
+	var ok bool
+	if err := s.write(ctx, func() { ok = s.objects.put(name, data) }); err != nil {
+		return err
+	}
+	if !ok {
+		return fmt.Errorf("%w: object %q has other content", platform.ErrRejected, name)
+	}
+	return nil
+}
+
+func (s *Stub) getObject(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	var ok bool
+	err := s.read(ctx, func() { data, ok = s.objects.get(name) })
+	return data, missing(err, ok)
+}
+
+func (s *Stub) listObjects(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	var names []string
+	err := s.read(ctx, func() { names = page(s.objects.names, prefix, after, limit) })
+	return names, err
+}
+
+// read waits for the latency and then runs f under the lock.
+func (s *Stub) read(ctx context.Context, f func()) error {
+	if err := s.wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.admit(s.reads); err != nil {
+		return err
+	}
+	s.counts.Reads++
+	f()
+	return nil
+}
+
+// write runs f under the lock, now or late, and then waits for the latency.
+func (s *Stub) write(ctx context.Context, f func()) error {
+	if err := s.carryOut(f); err != nil {
+		return err
+	}
+	return s.wait(ctx)
+}
+
+func (s *Stub) carryOut(f func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.admit(s.writes); err != nil {
+		return err
+	}
+	s.counts.Writes++
+	if s.chance(&s.faults.LateNext, s.faults.Late) {
+		s.after(s.faults.Delay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			f()
+		})
+		return fmt.Errorf("%w: late write", platform.ErrUnavailable)
+	}
+	f()
+	if s.chance(&s.faults.LoseNext, s.faults.Lose) {
+		return fmt.Errorf("%w: lost reply", platform.ErrUnavailable)
+	}
+	return nil
+}
+
+// admit is called with the lock held.
+func (s *Stub) admit(l *rate.Limiter) error {
+	if s.faults.Outage {
+		return fmt.Errorf("%w: outage", platform.ErrUnavailable)
+	}
+	if !l.AllowN(s.now(), 1) {
+		s.counts.Limited++
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, errLimited)
+	}
+	return nil
+}
+
+// chance draws whether a fault strikes, and counts down next if it is set.
+func (s *Stub) chance(next *int, share float64) bool {
+	if *next > 0 {
+		*next--
+		return true
+	}
+	return share > 0 && s.random.Float64() < share
+}
+
+func (s *Stub) wait(ctx context.Context) error {
+	latency := s.Faults().Latency
+	if latency <= 0 {
+		return nil
+	}
+	if err := s.sleep(ctx, latency); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond)))
+}
+
+func missing(err error, ok bool) error {
+	if err == nil && !ok {
+		return platform.ErrMissing
+	}
+	return err
+}
