Add the decisions of lease ownership

The table is too slow to renew 3,500 leases a second and an outage of it would stop everybody, so peers witness leases and the table only picks the winner of a takeover. This package is the decisions alone, driven by messages and the time.

A witness that answers only while its own lease is valid can't start: nobody renews anybody in a new cluster, nor after a moment without network while the store is down. A grace after a read of the own row was weighed; it needs the store to get going again. Instead a witness always answers and marks the answer while nobody supports it itself. Marked answers support, but don't renew. So a witness closed by votes gives no renewals any more and counts as a vote; one closed on the strength of closed witnesses may still, so its row drops its witnesses and it doesn't count.

An asker asks itself last, so that a daemon cut off from its peers but not from the store burns none of its own votes.

A row without witnesses never gave a lease; it may be closed without votes, or its slots could never be freed.

--- /dev/null
+++ b/lease/choose.go
@@ -0,0 +1,139 @@
+package lease
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarrun/wire"
+)
+
+// minInRegion is the number of candidates in its own region from which on a
+// member takes no witnesses from other regions.
+const minInRegion = 2
+
+// The places of a candidate's failure domain, best first. The own domain comes
+// before a second witness in another one, so that the loss of one of three
+// domains neither ends a living lease nor prevents a takeover.
+const (
+	placeFresh = iota
+	placeOwn
+	placeUsed
+	placeOwnUsed
+)
+
+// candidate is a member that may become a witness.
+type candidate struct {
+	member wire.Member
+	kept   bool
+	score  uint64
+	place  int
+}
+
+// Choose returns up to three witnesses for self: active members of its region
+// in different failure domains where there are any, and of other regions only
+// if its own has fewer than two candidates. The choice is spread over members
+// by rendezvous hashing; among equals, members of keep stay.
+func Choose(self wire.Member, members []wire.Member, keep []wire.Generation) []wire.Generation {
+	rest := candidates(self, members, keep)
+	var used []wire.Member
+	var chosen []wire.Generation
+	for len(chosen) < MaxWitnesses && len(rest) > 0 {
+		for i := range rest {
+			rest[i].place = place(self, rest[i].member, used)
+		}
+		i := best(self, rest)
+		used = append(used, rest[i].member)
+		chosen = append(chosen, rest[i].member.Generation)
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return chosen
+}
+
+// candidates returns the members that may be witnesses of self.
+func candidates(self wire.Member, members []wire.Member, keep []wire.Generation) []candidate {
+	var near, far []candidate
+	for _, m := range members {
+		if m.State != wire.StateActive || m.Generation == self.Generation || m.Instance == self.Instance {
+			continue
+		}
+		c := candidate{
+			member: m,
+			kept:   slices.Contains(keep, m.Generation),
+			score:  score(self.Generation, m.Generation),
+		}
+		if m.Region == self.Region {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
+		}
+	}
+	if len(near) >= minInRegion {
+		return near
+	}
+	return append(near, far...)
+}
+
+// best returns the index of the candidate to choose next.
+func best(self wire.Member, rest []candidate) int {
+	at := 0
+	for i := range rest {
+		if compare(self, rest[i], rest[at]) < 0 {
+			at = i
+		}
+	}
+	return at
+}
+
+// compare orders candidates, best first.
+func compare(self wire.Member, a, b candidate) int {
+	return cmp.Or(
+		falseFirst(a.member.Region != self.Region, b.member.Region != self.Region),
+		cmp.Compare(a.place, b.place),
+		falseFirst(!a.kept, !b.kept),
+		cmp.Compare(b.score, a.score),
+		cmp.Compare(a.member.Generation, b.member.Generation),
+	)
+}
+
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// place tells how the member's failure domain relates to self's and to those
+// of the witnesses chosen so far.
+func place(self, m wire.Member, used []wire.Member) int {
+	own := sameDomain(self, m)
+	taken := slices.ContainsFunc(used, func(u wire.Member) bool { return sameDomain(u, m) })
+	switch {
+	case own && taken:
+		return placeOwnUsed
+	case own:
+		return placeOwn
+	case taken:
+		return placeUsed
+	default:
+		return placeFresh
+	}
+}
+
+func sameDomain(a, b wire.Member) bool {
+	return a.Region == b.Region && a.Domain == b.Domain
+}
+
+// score is the rendezvous hash of a pair of generations.
+func score(self, other wire.Generation) uint64 {
+	var buf [16]byte
+	binary.BigEndian.PutUint64(buf[:8], uint64(self))
+	binary.BigEndian.PutUint64(buf[8:], uint64(other))
+	return xxhash.Sum64(buf[:])
+}
--- /dev/null
+++ b/lease/choose_test.go
@@ -0,0 +1,97 @@
+package lease_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"fulmarrun/lease"
+	"fulmarrun/wire"
+)
+
+// roster makes members from words like "eu.a" (region and domain), with
+// generations counted from one; a trailing "-" makes a member leaving.
+func roster(words string) []wire.Member {
+	fields := strings.Fields(words)
+	members := make([]wire.Member, 0, len(fields))
+	for i, word := range fields {
+		region, domain, _ := strings.Cut(strings.TrimSuffix(word, "-"), ".")
+		m := wire.Member{
+			Instance: fmt.Sprintf("i%d", i+1), Generation: wire.Generation(i + 1),
+			Region: region, Domain: domain,
+		}
+		if strings.HasSuffix(word, "-") {
+			m.State = wire.StateLeaving
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func TestChoose(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		members string // the first one chooses
+		keep    []wire.Generation
+		domains string // sorted domains of the witnesses
+		chosen  []wire.Generation
+	}{
+		{name: "alone", members: "eu.a"},
+		{name: "pair", members: "eu.a eu.a", domains: "eu.a"},
+		{name: "only leaving ones", members: "eu.a eu.b- eu.c-"},
+		{name: "four domains", members: "eu.a eu.a eu.b eu.c eu.d", domains: "eu.b eu.c eu.d"},
+		{name: "own domain before a second in another", members: "eu.a eu.a eu.a eu.b eu.b eu.c eu.c", domains: "eu.a eu.b eu.c"},
+		{name: "two domains", members: "eu.a eu.a eu.a eu.b eu.b eu.b", domains: "eu.a eu.b eu.b"},
+		{name: "one domain", members: "eu.a eu.a eu.a eu.a eu.a", domains: "eu.a eu.a eu.a"},
+		{name: "other regions fill up", members: "eu.a eu.a us.a us.b", domains: "eu.a us.a us.b"},
+		{name: "two in the region suffice", members: "eu.a eu.a eu.a us.a us.b", domains: "eu.a eu.a"},
+		{name: "keep equals", members: "eu.a eu.b eu.b eu.b eu.b eu.c eu.d", keep: []wire.Generation{4}, domains: "eu.b eu.c eu.d", chosen: []wire.Generation{4}},
+		{name: "do not keep a worse place", members: "eu.a eu.a eu.b eu.c eu.d", keep: []wire.Generation{2}, domains: "eu.b eu.c eu.d"},
+	} {
+		members := roster(tc.members)
+		chosen := lease.Choose(members[0], members, tc.keep)
+		domains := make([]string, 0, len(chosen))
+		for _, g := range chosen {
+			domains = append(domains, members[g-1].Region+"."+members[g-1].Domain)
+		}
+		slices.Sort(domains)
+		if got := strings.Join(domains, " "); got != tc.domains {
+			t.Errorf("%s: domains %q, want %q", tc.name, got, tc.domains)
+		}
+		for _, g := range tc.chosen {
+			if !slices.Contains(chosen, g) {
+				t.Errorf("%s: chose %v without %d", tc.name, chosen, g)
+			}
+		}
+	}
+}
+
+// TestChooseSpread checks that no member witnesses many times its share, and
+// that the loss of one member moves only the choices that named it.
+func TestChooseSpread(t *testing.T) {
+	members := roster(strings.Repeat("eu.a eu.b eu.c eu.d ", 50))
+	load := make(map[wire.Generation]int)
+	chosen := make(map[wire.Generation][]wire.Generation)
+	for _, m := range members {
+		chosen[m.Generation] = lease.Choose(m, members, nil)
+		for _, g := range chosen[m.Generation] {
+			load[g]++
+		}
+	}
+	for g, n := range load {
+		if n > 4*lease.MaxWitnesses {
+			t.Errorf("generation %d witnesses %d holders", g, n)
+		}
+	}
+	lost := members[7].Generation
+	left := slices.DeleteFunc(slices.Clone(members), func(m wire.Member) bool { return m.Generation == lost })
+	for _, m := range left {
+		if slices.Contains(chosen[m.Generation], lost) {
+			continue
+		}
+		if again := lease.Choose(m, left, chosen[m.Generation]); !slices.Equal(again, chosen[m.Generation]) {
+			t.Errorf("generation %d chose %v, then %v", m.Generation, chosen[m.Generation], again)
+		}
+	}
+}
--- /dev/null
+++ b/lease/holder_test.go
@@ -0,0 +1,133 @@
+package lease_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarrun/lease"
+	"fulmarrun/wire"
+)
+
+// renew sends the heartbeats that are due and returns the answers of the named
+// witnesses to the holder after the given time.
+func renew(h *lease.Holder, ms, after int, supported bool, from ...wire.Generation) {
+	for _, hb := range slices.Clone(h.Beat(at(ms))) {
+		if !slices.Contains(from, hb.To) {
+			continue
+		}
+		answer, _ := lease.NewWitness(hb.To).Answer(at(ms), hb, supported)
+		h.Renew(at(ms+after), answer)
+	}
+}
+
+func TestHolderCounts(t *testing.T) {
+	type set = []wire.Generation
+	for _, tc := range []struct {
+		name    string
+		settled set
+		begun   set
+		from    set
+		until   int // milliseconds; zero if never valid
+	}{
+		{"three of three", set{2, 3, 4}, nil, set{2, 3, 4}, 950},
+		{"two of three", set{2, 3, 4}, nil, set{2, 4}, 950},
+		{"one of three", set{2, 3, 4}, nil, set{2}, 0},
+		{"one of two", set{2, 3}, nil, set{3}, 950},
+		{"one of one", set{2}, nil, set{2}, 950},
+		{"no witnesses", set{}, nil, nil, 0},
+		{"too many witnesses", set{2, 3, 4, 5}, nil, set{2, 3, 4, 5}, 0},
+		{"only the new majority", set{2, 3, 4}, set{4, 5, 6}, set{4, 5, 6}, 0},
+		{"only the old majority", set{2, 3, 4}, set{4, 5, 6}, set{2, 3, 4}, 0},
+		{"both majorities", set{2, 3, 4}, set{4, 5, 6}, set{3, 4, 5}, 950},
+		{"change to none", set{2, 3, 4}, set{}, set{2, 3, 4}, 0},
+	} {
+		h := lease.NewHolder(1)
+		h.Settle(tc.settled)
+		if tc.begun != nil {
+			h.Begin(tc.begun)
+		}
+		renew(h, 0, 400, true, tc.from...)
+		until := 0
+		if !h.Until().IsZero() {
+			until = int(h.Until().Sub(start) / time.Millisecond)
+		}
+		if until != tc.until || h.Valid(at(500)) != (tc.until > 0) {
+			t.Errorf("%s: until %d, want %d", tc.name, until, tc.until)
+		}
+	}
+}
+
+func TestHolderSettles(t *testing.T) {
+	h := lease.NewHolder(1)
+	h.Settle([]wire.Generation{2, 3, 4})
+	renew(h, 0, 1, true, 2, 3)
+	h.Begin([]wire.Generation{2, 5, 6})
+	h.Begin([]wire.Generation{5, 6, 7})
+	if h.Valid(at(10)) {
+		t.Error("valid without the witnesses of two writes under way")
+	}
+	renew(h, 10, 1, true, 5, 6)
+	if !h.Valid(at(20)) {
+		t.Error("not valid with the majorities of all three sets")
+	}
+	h.Settle([]wire.Generation{2, 3, 4})
+	if want := at(950); !h.Until().Equal(want) {
+		t.Errorf("until %v after settling on the old set, want %v", h.Until(), want)
+	}
+	h.End()
+	renew(h, 500, 1, true, 2, 3, 4)
+	if h.Valid(at(600)) || h.Supported(at(600)) {
+		t.Error("valid after its end")
+	}
+}
+
+func TestHolderMarkedAnswers(t *testing.T) {
+	h := lease.NewHolder(1)
+	h.Settle([]wire.Generation{2, 3, 4})
+	renew(h, 0, 1, false, 2, 3)
+	if h.Valid(at(10)) || !h.Supported(at(10)) {
+		t.Error("marked answers must support and not renew")
+	}
+	renew(h, 250, 1, true, 2, 3)
+	if !h.Valid(at(260)) {
+		t.Error("unmarked answers must renew")
+	}
+}
+
+func TestHolderDropsForeign(t *testing.T) {
+	h := lease.NewHolder(1)
+	h.Settle([]wire.Generation{2})
+	seq := h.Beat(start)[0].Seq
+	for _, hb := range []wire.Heartbeat{
+		{From: 2, To: 1, Seq: seq},
+		{From: 2, To: 9, Seq: seq, Answer: true},
+		{From: 3, To: 1, Seq: seq, Answer: true},
+		{From: 2, To: 1, Seq: seq + 2, Answer: true},
+		{From: 2, To: 1, Seq: 0, Answer: true},
+	} {
+		if h.Renew(at(1), hb) {
+			t.Errorf("%+v renewed", hb)
+		}
+	}
+	if !h.Renew(at(1), wire.Heartbeat{From: 2, To: 1, Seq: seq, Answer: true}) {
+		t.Error("the true answer did not renew")
+	}
+}
+
+func TestHolderSilent(t *testing.T) {
+	h := lease.NewHolder(1)
+	h.Settle([]wire.Generation{2, 3, 4})
+	for ms := 0; ms < 3000; ms += 250 {
+		renew(h, ms, 1, true, 2, 3)
+		if got := h.Silent(at(ms + 1)); (len(got) == 1 && got[0] == 4) != (ms >= 2000) {
+			t.Fatalf("at %d ms silent %v", ms, got)
+		}
+	}
+	for ms := 3000; ms < 5000; ms += 250 {
+		renew(h, ms, 1, true, 2)
+	}
+	if got := h.Silent(at(4000)); !slices.Equal(got, []wire.Generation{3, 4}) {
+		t.Errorf("silent %v with the lease lost", got)
+	}
+}
--- /dev/null
+++ b/lease/quorum.go
@@ -0,0 +1,20 @@
+package lease
+
+// MaxWitnesses is how many witnesses a member row names at most.
+const MaxWitnesses = 3
+
+// Quorum returns how many of a holder's witnesses must renew its lease, and how
+// many must vote to end it. Their sum is greater than the number of witnesses.
+// It returns zeros for a number at which ownership is refused.
+func Quorum(witnesses int) (renewals, votes int) {
+	switch witnesses {
+	case 1:
+		return 1, 1
+	case 2:
+		return 1, 2
+	case 3:
+		return 2, 2
+	default:
+		return 0, 0
+	}
+}
--- /dev/null
+++ b/lease/takeover.go
@@ -0,0 +1,222 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+const (
+	// stagger is how much later than the one before it the next witness asks.
+	stagger = 150 * time.Millisecond
+	// askAgain is the time after which an unanswered question is repeated.
+	askAgain = 100 * time.Millisecond
+	// storeFresh is how long ago the store may have answered at most for votes
+	// to be asked for.
+	storeFresh = time.Second
+)
+
+var (
+	// ErrUndecided is returned by Transaction before Decided reported true.
+	ErrUndecided = errors.New("not enough votes")
+	// ErrNotOpen is returned by Transaction if the closer or the holder is
+	// closed, or if they are one and the same.
+	ErrNotOpen = errors.New("generation cannot take part in the takeover")
+)
+
+// Ballot is a request for a vote and the witness it goes to.
+type Ballot struct {
+	To   wire.Generation
+	Vote wire.Vote
+}
+
+// Takeover gathers the votes that end one version of a holder's row. It is
+// dropped when the row is seen at a later version.
+type Takeover struct {
+	config
+	row     wire.Member
+	version uint64
+	// start is when the first votes are asked for.
+	start   time.Time
+	voters  []voter
+	decided bool
+	asked   []Ballot
+}
+
+// voter is what a Takeover knows about one witness.
+type voter struct {
+	witness wire.Generation
+	voted   bool
+	// closed is when the closing of the witness was learned, or zero.
+	closed time.Time
+	// next is when the witness may be asked again.
+	next time.Time
+}
+
+// MemberKey returns the key of a generation's member row.
+func MemberKey(g wire.Generation) string {
+	return fmt.Sprintf("member/%016x", uint64(g))
+}
+
+// NewTakeover returns a Takeover of the holder whose member row is row at the
+// given version.
+func NewTakeover(row wire.Member, version uint64, now time.Time, opts ...Option) *Takeover {
+	t := &Takeover{config: newConfig(opts), row: row, version: version}
+	t.start = now
+	for i, witness := range row.Witnesses {
+		if witness == t.asker {
+			t.start = now.Add(time.Duration(i) * stagger)
+		}
+		t.voters = append(t.voters, voter{witness: witness})
+	}
+	return t
+}
+
+// Ask returns the requests for votes that are due. There are none while the
+// store has not answered for a second: without it the votes would end a lease
+// that nobody can take over. The slice is valid until the next call.
+func (t *Takeover) Ask(now, storeAnswered time.Time) []Ballot {
+	t.asked = t.asked[:0]
+	if t.decided || now.Before(t.start) || now.Sub(storeAnswered) > storeFresh {
+		return t.asked
+	}
+	for i := range t.voters {
+		v := &t.voters[i]
+		if v.voted || now.Before(v.next) || (v.witness == t.asker && !t.lastMissing(now)) {
+			continue
+		}
+		v.next = now.Add(askAgain)
+		vote := wire.Vote{From: t.asker, Holder: t.row.Generation}
+		t.asked = append(t.asked, Ballot{To: v.witness, Vote: vote})
+	}
+	return t.asked
+}
+
+// Verdict takes a witness's testimony.
+func (t *Takeover) Verdict(now time.Time, from wire.Generation, v wire.Verdict) {
+	if v.Holder != t.row.Generation {
+		return
+	}
+	for i := range t.voters {
+		if t.voters[i].witness != from {
+			continue
+		}
+		if v.Expired {
+			t.voters[i].voted = true
+			continue
+		}
+		t.voters[i].next = now.Add(v.Wait)
+	}
+}
+
+// Closed takes the row of a witness that is itself closed. It counts as a vote
+// once TTL has passed, unless its own closing rested on closed witnesses: such
+// a row names no witnesses.
+func (t *Takeover) Closed(witness wire.Member, now time.Time) {
+	if witness.State != wire.StateClosed {
+		return
+	}
+	if len(witness.Witnesses) == 0 && !t.faults.AnyClosed {
+		return
+	}
+	for i := range t.voters {
+		if t.voters[i].witness == witness.Generation && t.voters[i].closed.IsZero() {
+			t.voters[i].closed = now
+		}
+	}
+}
+
+// Decided reports whether the lease is known to have ended. A row without
+// witnesses never gave a lease, so that no votes are needed.
+func (t *Takeover) Decided(now time.Time) bool {
+	if t.decided {
+		return true
+	}
+	_, needed := Quorum(len(t.voters))
+	t.decided = t.votes(now) >= needed && len(t.voters) <= MaxWitnesses
+	return t.decided
+}
+
+// Transaction returns the one write that closes the holder's row in favour of
+// heirs. It applies only if the row is still the one that the votes are about
+// and the closer's own row is still as it knows it.
+func (t *Takeover) Transaction(
+	closer wire.Member, closerVersion uint64, heirs []wire.Generation, change, reason string,
+) (platform.Transaction, error) {
+	if !t.decided {
+		return platform.Transaction{}, ErrUndecided
+	}
+	if closer.State == wire.StateClosed || t.row.State == wire.StateClosed ||
+		closer.Generation == t.row.Generation {
+		return platform.Transaction{}, ErrNotOpen
+	}
+	row := t.row
+	row.State = wire.StateClosed
+	row.Heirs = slices.Clone(heirs)
+	row.Change = change
+	row.Reason = reason
+	if !t.byVotesAlone() {
+		row.Witnesses = nil
+	}
+	value, err := wire.Encode(&row)
+	if err != nil {
+		return platform.Transaction{}, fmt.Errorf("encode closed row: %w", err)
+	}
+	key := MemberKey(row.Generation)
+	tx := platform.Transaction{
+		ID: change,
+		Conditions: []platform.Condition{
+			{Key: MemberKey(closer.Generation), Version: closerVersion},
+			{Key: key, Version: t.version},
+		},
+		Writes: []platform.Write{{Key: key, Value: value}},
+	}
+	if t.faults.AnyVersion {
+		tx.Conditions = tx.Conditions[:1]
+	}
+	return tx, nil
+}
+
+// votes counts the votes given and the witnesses that count as votes.
+func (t *Takeover) votes(now time.Time) int {
+	n := 0
+	for _, v := range t.voters {
+		if v.voted || t.expired(now, v) {
+			n++
+		}
+	}
+	return n
+}
+
+// lastMissing reports whether one more vote decides. An asker asks itself only
+// then, so that one that is cut off from its peers binds itself to nothing.
+func (t *Takeover) lastMissing(now time.Time) bool {
+	_, needed := Quorum(len(t.voters))
+	return t.votes(now) >= needed-1
+}
+
+// byVotesAlone reports whether the votes given in person suffice.
+func (t *Takeover) byVotesAlone() bool {
+	_, needed := Quorum(len(t.voters))
+	votes := 0
+	for _, v := range t.voters {
+		if v.voted {
+			votes++
+		}
+	}
+	return votes >= needed
+}
+
+// expired reports whether a witness was closed so long ago that none of its
+// renewals can still live.
+func (t *Takeover) expired(now time.Time, v voter) bool {
+	if v.closed.IsZero() {
+		return false
+	}
+	return t.faults.ClosedAtOnce || now.Sub(v.closed) >= t.ttl
+}
--- /dev/null
+++ b/lease/takeover_test.go
@@ -0,0 +1,138 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/lease"
+	"fulmarrun/wire"
+)
+
+var closer = wire.Member{Generation: 8}
+
+func holderRow(witnesses ...wire.Generation) wire.Member {
+	return wire.Member{Generation: 1, Witnesses: witnesses}
+}
+
+func TestTakeoverDecides(t *testing.T) {
+	type set = []wire.Generation
+	for _, tc := range []struct {
+		name      string
+		witnesses set
+		votes     set
+		closed    set // closed by votes alone, learned at 0
+		doubtful  set // closed on the strength of closed ones
+		ms        int
+		decided   bool
+		kept      bool // the closed row keeps its witnesses
+	}{
+		{"three need two", set{2, 3, 4}, set{2}, nil, nil, 5000, false, false},
+		{"two of three", set{2, 3, 4}, set{2, 4}, nil, nil, 0, true, true},
+		{"two need both", set{2, 3}, set{2}, nil, nil, 5000, false, false},
+		{"both of two", set{2, 3}, set{2, 3}, nil, nil, 0, true, true},
+		{"one of one", set{2}, set{2}, nil, nil, 0, true, true},
+		{"one vote counts once", set{2, 3, 4}, set{2, 2}, nil, nil, 0, false, false},
+		{"strangers do not count", set{2, 3, 4}, set{5, 6}, nil, nil, 0, false, false},
+		{"a closed witness counts after a TTL", set{2, 3, 4}, set{2}, set{3}, nil, 1000, true, false},
+		{"not before", set{2, 3, 4}, set{2}, set{3}, nil, 999, false, false},
+		{"nor when its closing is doubtful", set{2, 3, 4}, set{2}, nil, set{3}, 5000, false, false},
+		{"closed and voted counts once", set{2, 3, 4}, set{2}, set{2}, nil, 5000, false, false},
+		{"no witnesses, no lease", nil, nil, nil, nil, 0, true, false},
+		{"too many witnesses", set{2, 3, 4, 5}, set{2, 3, 4, 5}, nil, nil, 0, false, false},
+	} {
+		to := lease.NewTakeover(holderRow(tc.witnesses...), 7, start)
+		for _, g := range tc.votes {
+			to.Verdict(start, g, wire.Verdict{Holder: 1, Expired: true})
+			to.Verdict(start, g, wire.Verdict{Holder: 99, Expired: true})
+		}
+		for _, g := range tc.closed {
+			to.Closed(wire.Member{Generation: g, State: wire.StateClosed, Witnesses: set{50}}, start)
+		}
+		for _, g := range tc.doubtful {
+			to.Closed(wire.Member{Generation: g, State: wire.StateClosed}, start)
+			to.Closed(wire.Member{Generation: g, Witnesses: set{50}}, start)
+		}
+		if got := to.Decided(at(tc.ms)); got != tc.decided {
+			t.Errorf("%s: decided %v", tc.name, got)
+		}
+		tx, err := to.Transaction(closer, 3, set{8}, "c", "r")
+		if !tc.decided {
+			if !errors.Is(err, lease.ErrUndecided) {
+				t.Errorf("%s: error %v", tc.name, err)
+			}
+			continue
+		}
+		var row wire.Member
+		if err := wire.Decode(tx.Writes[0].Value, &row); err != nil {
+			t.Fatal(err)
+		}
+		if row.State != wire.StateClosed || row.Change != "c" || tx.ID != "c" || row.Reason != "r" ||
+			len(row.Heirs) != 1 || (len(row.Witnesses) > 0) != tc.kept {
+			t.Errorf("%s: wrote %+v", tc.name, row)
+		}
+		if len(tx.Conditions) != 2 || tx.Conditions[0].Version != 3 || tx.Conditions[1].Version != 7 ||
+			tx.Conditions[1].Key != tx.Writes[0].Key || tx.Conditions[0].Key == tx.Conditions[1].Key {
+			t.Errorf("%s: conditions %+v", tc.name, tx.Conditions)
+		}
+	}
+}
+
+func TestTakeoverAsks(t *testing.T) {
+	row := holderRow(2, 3, 4)
+	for _, tc := range []struct {
+		name     string
+		asker    wire.Generation
+		ms       int
+		answered int // when the store last did
+		voted    []wire.Generation
+		want     int
+	}{
+		{"stranger", 8, 0, 0, nil, 3},
+		{"first witness asks the others", 2, 0, 0, nil, 2},
+		{"second waits", 3, 149, 0, nil, 0},
+		{"second's turn", 3, 150, 0, nil, 2},
+		{"third waits", 4, 299, 0, nil, 0},
+		{"itself last", 2, 0, 0, []wire.Generation{3}, 2},
+		{"store just fresh", 8, 1000, 0, nil, 3},
+		{"store silent", 8, 1001, 0, nil, 0},
+		{"decided", 8, 0, 0, []wire.Generation{2, 3}, 0},
+	} {
+		to := lease.NewTakeover(row, 1, start, lease.WithAsker(tc.asker))
+		for _, g := range tc.voted {
+			to.Verdict(start, g, wire.Verdict{Holder: 1, Expired: true})
+		}
+		to.Decided(at(tc.ms))
+		if got := len(to.Ask(at(tc.ms), at(tc.answered))); got != tc.want {
+			t.Errorf("%s: asked %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	to := lease.NewTakeover(row, 1, start)
+	to.Ask(start, start)
+	to.Verdict(start, 2, wire.Verdict{Holder: 1, Wait: 300 * time.Millisecond})
+	if n := len(to.Ask(at(99), start)); n != 0 {
+		t.Errorf("asked %d again at once", n)
+	}
+	if n := len(to.Ask(at(100), start)); n != 2 {
+		t.Errorf("asked %d again, want the two that said nothing", n)
+	}
+}
+
+func TestTakeoverRefuses(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		row    wire.Member
+		closer wire.Member
+	}{
+		{"closer is closed", holderRow(), wire.Member{Generation: 8, State: wire.StateClosed}},
+		{"closer is the holder", holderRow(), wire.Member{Generation: 1}},
+		{"holder is closed", wire.Member{Generation: 1, State: wire.StateClosed}, closer},
+	} {
+		to := lease.NewTakeover(tc.row, 1, start)
+		to.Decided(start)
+		if _, err := to.Transaction(tc.closer, 1, nil, "c", "r"); !errors.Is(err, lease.ErrNotOpen) {
+			t.Errorf("%s: error %v", tc.name, err)
+		}
+	}
+}
