Hand requests to the target at most once, and add a stub target

The daemon needs the truth about whether a byte of a request can have reached its target. net/http alone doesn't tell it: it replays a request on a second connection if the method or an Idempotency-Key header seems to allow that, and its trace hooks race with the writer. So each write goes through a connection that belongs to one attempt: the first write asks the lease check, no second connection may write after a byte went out, and sealing the attempt at the end makes "no byte was written" final. Weighed and set aside: httptrace's WroteHeaders (called after the buffer is filled, not after the write) and leaving GetBody nil (doesn't cover requests without a body).

An answer without a declared length is taken as cut, since the end of a dying process looks the same. Grants end at the target's own last stamp plus what was left of the lease when that stamp arrived, so that a pause before sending can't extend them.

--- /dev/null
+++ b/target/client_test.go
@@ -0,0 +1,278 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+// scripted accepts connections and runs script on each, numbered from 1.
+func scripted(t testing.TB, script func(n int, c net.Conn)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(n, c)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// answering reads one whole request and writes text.
+func answering(text string) func(int, net.Conn) {
+	return func(_ int, c net.Conn) {
+		if readRequest(c) {
+			_, _ = io.WriteString(c, text)
+		}
+	}
+}
+
+func readRequest(c net.Conn) bool {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
+// reset closes c with a reset in place of an orderly end.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func booking() *wire.Request {
+	return &wire.Request{ID: "id-1", Key: "k/1", Method: http.MethodPost, Path: "/book?x=1", Body: []byte("visit")}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		script  func(int, net.Conn)
+		outcome wire.Outcome
+		reason  string
+	}{
+		{"whole", answering(whole), wire.OutcomeAnswered, ""},
+		{"whole chunked", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), wire.OutcomeAnswered, ""},
+		{"shed", answering("HTTP/1.1 503 Busy\r\nFulmar-Shed: shed\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, target.ReasonShed},
+		{"after 1xx", answering("HTTP/1.1 103 Early Hints\r\n\r\n" + whole), wire.OutcomeAnswered, ""},
+		{"redirect is not followed", answering("HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
+		{"own ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-1\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeAnswered, ""},
+		{"other ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-2\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCrossed},
+		{"cut by length", answering("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+		{"cut in chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+		{"cut before last chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), wire.OutcomeUnknown, target.ReasonCut},
+		{"no length", answering("HTTP/1.1 200 OK\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+		{"upgrade", answering("HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"), wire.OutcomeUnknown, target.ReasonCut},
+		{"over the limit", answering("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65)), wire.OutcomeUnknown, target.ReasonSize},
+		{"chunks over the limit", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n"), wire.OutcomeUnknown, target.ReasonSize},
+		{"header cut", answering("HTTP/1.1 200 OK\r\nContent-Le"), wire.OutcomeUnknown, target.ReasonLost},
+		{"closed unanswered", answering(""), wire.OutcomeUnknown, target.ReasonLost},
+		{"half read", func(_ int, c net.Conn) { _, _ = c.Read(make([]byte, 20)); reset(c) }, wire.OutcomeUnknown, target.ReasonLost},
+		{"fence of a target that doesn't check", answering("HTTP/1.1 412 No\r\nFulmar-Fence: epoch\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			client := target.NewClient(target.WithLimit(64))
+			defer client.Close()
+			client.Use(scripted(t, tc.script), false)
+			resp, err := client.Do(t.Context(), booking(), target.Fence{})
+			if resp.Outcome != tc.outcome || resp.Reason != tc.reason {
+				t.Fatalf("got outcome %d reason %q (%v), want %d %q", resp.Outcome, resp.Reason, err, tc.outcome, tc.reason)
+			}
+			if (err == nil) != (tc.outcome == wire.OutcomeAnswered) || err != nil && !errors.Is(err, target.ErrUnknown) {
+				t.Fatalf("error %v doesn't fit the outcome", err)
+			}
+		})
+	}
+}
+
+func TestNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	var accepted atomic.Int32
+	open := scripted(t, func(int, net.Conn) { accepted.Add(1) })
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		address netip.AddrPort
+		path    string
+		check   error
+		reason  string
+	}{
+		{"no target", t.Context(), netip.AddrPort{}, "/", nil, target.ReasonAbsent},
+		{"refused connection", t.Context(), closed, "/", nil, target.ReasonConnect},
+		{"bad path", t.Context(), open, "book", nil, target.ReasonInvalid},
+		{"path with a line end", t.Context(), open, "/\r\nX: y", nil, target.ReasonInvalid},
+		{"cancelled before", ended, open, "/", nil, target.ReasonCancel},
+		{"lease gone", t.Context(), open, "/", errors.New("lease gone"), target.ReasonLease},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			client := target.NewClient(target.WithCheck(func(target.Fence) error { return tc.check }))
+			defer client.Close()
+			if tc.address.IsValid() {
+				client.Use(tc.address, true)
+			}
+			r := booking()
+			r.Path = tc.path
+			resp, err := client.Do(tc.ctx, r, target.Fence{})
+			if resp.Outcome != wire.OutcomeNotRun || resp.Reason != tc.reason || !errors.Is(err, target.ErrNotRun) {
+				t.Fatalf("got %+v, %v; want not run, %q", resp, err, tc.reason)
+			}
+		})
+	}
+}
+
+// TestIdleClosed has a server that answers once on each connection and then
+// reads the next request and closes, which net/http would replay.
+func TestIdleClosed(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodDelete} {
+		for _, body := range []string{"", "visit"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				var requests atomic.Int32
+				client := target.NewClient()
+				defer client.Close()
+				client.Use(scripted(t, func(_ int, c net.Conn) {
+					br := bufio.NewReader(c)
+					for n := 1; ; n++ {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						requests.Add(1)
+						_, _ = io.Copy(io.Discard, r.Body)
+						if n == 2 {
+							return
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+					}
+				}), false)
+				r := booking()
+				r.Method, r.Body = method, []byte(body)
+				if resp, err := client.Do(t.Context(), r, target.Fence{}); err != nil || resp.Status != 204 {
+					t.Fatalf("first request: %+v, %v", resp, err)
+				}
+				resp, err := client.Do(t.Context(), r, target.Fence{})
+				if resp.Outcome != wire.OutcomeUnknown {
+					t.Errorf("second request: %+v, %v; want unknown", resp, err)
+				}
+				if n := requests.Load(); n != 2 {
+					t.Errorf("the server saw %d requests, want 2", n)
+				}
+			})
+		}
+	}
+}
+
+// TestCancel checks that the end of the context reaches the target, whether it
+// is by cancellation or by the deadline.
+func TestCancel(t *testing.T) {
+	for _, reason := range []string{target.ReasonCancel, target.ReasonTimeout} {
+		t.Run(reason, func(t *testing.T) {
+			started, gone := make(chan struct{}), make(chan struct{})
+			client := target.NewClient()
+			defer client.Close()
+			client.Use(scripted(t, func(_ int, c net.Conn) {
+				readRequest(c)
+				close(started)
+				_, _ = c.Read(make([]byte, 1))
+				close(gone)
+			}), false)
+			ctx, cancel := context.WithCancel(t.Context())
+			if reason == target.ReasonTimeout {
+				ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
+			} else {
+				go func() { <-started; cancel() }()
+			}
+			defer cancel()
+			resp, err := client.Do(ctx, booking(), target.Fence{})
+			if resp.Outcome != wire.OutcomeUnknown || resp.Reason != reason {
+				t.Fatalf("got %+v, %v; want unknown, %q", resp, err, reason)
+			}
+			<-gone
+		})
+	}
+}
+
+func TestHeaders(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	client := target.NewClient()
+	defer client.Close()
+	client.Use(scripted(t, func(_ int, c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		seen <- r
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: x-hop\r\nX-Hop: 1\r\nX-End: 2\r\nContent-Length: 0\r\n\r\n")
+	}), false)
+	r := booking()
+	r.Depth, r.Wait = 2, time.Minute
+	r.Headers = []wire.Header{
+		{Name: "Connection", Value: "x-own"},
+		{Name: "X-Own", Value: "1"},
+		{Name: "Te", Value: "trailers"},
+		{Name: "idempotency-key", Value: "forged"},
+		{Name: "Fulmar-Epoch", Value: "99"},
+		{Name: "Expect", Value: "100-continue"},
+		{Name: "X-Keep", Value: "2"},
+	}
+	resp, err := client.Do(t.Context(), r, target.Fence{Slot: 7, Epoch: 3, Generation: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := <-seen
+	want := map[string]string{
+		"Idempotency-Key": "id-1", "Fulmar-Key": "k%2F1", "Fulmar-Slot": "7", "Fulmar-Epoch": "3",
+		"Fulmar-Generation": "5", "Fulmar-Depth": "2", "Fulmar-Deadline": "60000", "X-Keep": "2",
+		"X-Own": "", "Te": "", "Expect": "", "User-Agent": "", "Accept-Encoding": "",
+	}
+	for name, value := range want {
+		if v := strings.Join(got.Header.Values(name), ","); v != value {
+			t.Errorf("header %s: got %q, want %q", name, v, value)
+		}
+	}
+	if got.RequestURI != "/book?x=1" {
+		t.Errorf("path: got %q", got.RequestURI)
+	}
+	for _, h := range resp.Headers {
+		if h.Name == "X-Hop" || h.Name == "Connection" {
+			t.Errorf("answer carries %s", h.Name)
+		}
+	}
+}
--- /dev/null
+++ b/target/reason.go
@@ -0,0 +1,37 @@
+package target
+
+import "github.com/pkg/errors"
+
+const (
+	// ReasonAbsent means that no target has announced itself.
+	ReasonAbsent = "absent"
+	// ReasonInvalid means that the request can't be put into HTTP.
+	ReasonInvalid = "invalid"
+	// ReasonConnect means that no connection was made, or one that took nothing.
+	ReasonConnect = "connect"
+	// ReasonLease means that the check before the first byte failed.
+	ReasonLease = "lease"
+	// ReasonFence means that the target rejected the fence.
+	ReasonFence = "fence"
+	// ReasonShed means that the target answered that it sheds load.
+	ReasonShed = "shed"
+	// ReasonLost means that the connection broke before the answer began.
+	ReasonLost = "lost"
+	// ReasonCut means that the answer ended early or declared no length.
+	ReasonCut = "cut"
+	// ReasonCrossed means that the answer names another request ID.
+	ReasonCrossed = "crossed"
+	// ReasonSize means that the answer is over the limit.
+	ReasonSize = "size"
+	// ReasonTimeout means that the time ran out.
+	ReasonTimeout = "timeout"
+	// ReasonCancel means that the request was cancelled.
+	ReasonCancel = "cancel"
+)
+
+var (
+	// ErrNotRun is wrapped by the error of Do if the request did not run.
+	ErrNotRun = errors.New("request did not run")
+	// ErrUnknown is wrapped by the error of Do if the request may have run.
+	ErrUnknown = errors.New("request may have run")
+)
--- /dev/null
+++ b/targetstub/stub_test.go
@@ -0,0 +1,221 @@
+package targetstub_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmarrun/target"
+	"fulmarrun/targetstub"
+	"fulmarrun/wire"
+)
+
+// started runs a stub and returns a client that learned of it by announcement.
+func started(t *testing.T, opts ...targetstub.Option) (*targetstub.Stub, *target.Client, <-chan target.Announcement) {
+	t.Helper()
+	seen := make(chan target.Announcement, 100)
+	server := target.NewServer()
+	server.OnAnnounce = func(a target.Announcement) { seen <- a }
+	daemon := httptest.NewServer(server)
+	t.Cleanup(daemon.Close)
+	address := netip.MustParseAddrPort(daemon.Listener.Addr().String())
+	stub := targetstub.NewStub(append(opts, targetstub.WithName("a"), targetstub.WithDaemon(address))...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- stub.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	client := target.NewClient()
+	t.Cleanup(client.Close)
+	a := <-seen
+	client.Use(a.Address, a.Checks)
+	return stub, client, seen
+}
+
+func TestEcho(t *testing.T) {
+	stub, client, _ := started(t)
+	r := &wire.Request{ID: "id", Key: "a b", Method: http.MethodPost, Path: "/x?size=100000", Body: []byte("12345")}
+	resp, err := client.Do(t.Context(), r, target.Fence{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var echo targetstub.Echo
+	if err := json.Unmarshal(resp.Body, &echo); err != nil {
+		t.Fatal(err)
+	}
+	if len(echo.Pad) != 100000 {
+		t.Errorf("answer has %d bytes of padding", len(echo.Pad))
+	}
+	echo.Pad = ""
+	if want := (targetstub.Echo{Instance: "a", Method: "POST", Path: r.Path, Key: "a b", ID: "id", Body: 5}); echo != want {
+		t.Errorf("got %+v, want %+v", echo, want)
+	}
+	_, _ = client.Do(t.Context(), r, target.Fence{})
+	if runs := stub.Runs(); runs.Double != 1 || runs.Total != 2 || runs.Runs[0].Finished != 2 {
+		t.Errorf("runs: %+v", runs)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   targetstub.Fault
+		outcome wire.Outcome
+		reason  string
+	}{
+		{"shed", targetstub.Fault{Shed: true}, wire.OutcomeAnswered, target.ReasonShed},
+		{"cut", targetstub.Fault{Cut: 10}, wire.OutcomeUnknown, target.ReasonCut},
+		{"hang", targetstub.Fault{Hang: true}, wire.OutcomeUnknown, target.ReasonTimeout},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			stub, client, _ := started(t)
+			stub.SetFault(tc.fault)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			resp, err := client.Do(ctx, &wire.Request{Method: "GET", Path: "/"}, target.Fence{})
+			if resp.Outcome != tc.outcome || resp.Reason != tc.reason {
+				t.Errorf("got %+v, %v", resp, err)
+			}
+		})
+	}
+}
+
+func TestGrantChecked(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	var passed atomic.Int64
+	now := func() time.Time { return start.Add(time.Duration(passed.Load())) }
+	stub, client, _ := started(t, targetstub.WithChecks(), targetstub.WithClock(now))
+	grants := target.NewGrants(5)
+	grants.Set([]target.SlotGrant{{From: 0, To: 9, Epoch: 3}}, []target.HotGrant{{Key: "hot", Epoch: 8}, {Key: "elsewhere"}})
+	grants.Announced(now(), stub.Announcement().Stamp)
+	push := func() {
+		t.Helper()
+		grant, _ := grants.Next(now().Add(time.Second))
+		reply, err := client.Push(t.Context(), grant)
+		if err != nil {
+			t.Fatal(err)
+		}
+		grants.Replied(now(), reply)
+	}
+	do := func(key string, f target.Fence) wire.Outcome {
+		r := &wire.Request{ID: "id", Key: key, Method: "POST", Path: "/"}
+		resp, _ := client.Do(t.Context(), r, f)
+		return resp.Outcome
+	}
+	good := target.Fence{Slot: 4, Epoch: 3, Generation: 5}
+	if do("k", good) != wire.OutcomeNotRun {
+		t.Error("ran without a grant")
+	}
+	push()
+	cases := []struct {
+		name  string
+		key   string
+		fence target.Fence
+		want  wire.Outcome
+	}{
+		{"granted", "k", good, wire.OutcomeAnswered},
+		{"not keyed", "", target.Fence{}, wire.OutcomeAnswered},
+		{"older epoch", "k", target.Fence{Slot: 4, Epoch: 2, Generation: 5}, wire.OutcomeNotRun},
+		{"newer epoch", "k", target.Fence{Slot: 4, Epoch: 4, Generation: 5}, wire.OutcomeNotRun},
+		{"other slot", "k", target.Fence{Slot: 10, Epoch: 3, Generation: 5}, wire.OutcomeNotRun},
+		{"other generation", "k", target.Fence{Slot: 4, Epoch: 3, Generation: 6}, wire.OutcomeNotRun},
+		{"hot key", "hot", target.Fence{Slot: 4, Epoch: 8, Generation: 5}, wire.OutcomeAnswered},
+		{"hot key by its slot", "hot", good, wire.OutcomeNotRun},
+		{"withheld key by its slot", "elsewhere", good, wire.OutcomeNotRun},
+	}
+	for _, tc := range cases {
+		if got := do(tc.key, tc.fence); got != tc.want {
+			t.Errorf("%s: outcome %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	passed.Add(int64(900 * time.Millisecond))
+	push()
+	late, _ := grants.Next(now().Add(time.Second))
+	passed.Add(int64(900 * time.Millisecond))
+	if do("k", good) != wire.OutcomeAnswered {
+		t.Error("a renewal did not extend the grant")
+	}
+	passed.Add(int64(time.Second))
+	if do("k", good) != wire.OutcomeNotRun {
+		t.Error("ran after the grant ended")
+	}
+	if _, err := client.Push(t.Context(), late); err != nil {
+		t.Fatal(err)
+	}
+	if do("k", good) != wire.OutcomeNotRun {
+		t.Error("a grant that was sent late extended the time")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	stub, _, seen := started(t, targetstub.WithInterval(time.Hour))
+	stub.Drain()
+	if a := <-seen; a.State != target.StateLeaving {
+		t.Errorf("announced %q", a.State)
+	}
+	w := httptest.NewRecorder()
+	stub.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/health", nil))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("health: status %d", w.Code)
+	}
+}
+
+func TestDelay(t *testing.T) {
+	const work = 10 * time.Millisecond
+	cases := []struct {
+		age     time.Duration
+		running int
+		want    time.Duration
+	}{
+		{0, 2, work},
+		{0, 4, 16 * work},
+		{5 * time.Second, 11, work},
+		{10 * time.Second, 20, work},
+		{10 * time.Second, 40, 16 * work},
+	}
+	for _, tc := range cases {
+		bearable := targetstub.Bearable(tc.age, 10*time.Second, 2, 20)
+		if got := targetstub.Delay(work, tc.running, bearable); got != tc.want {
+			t.Errorf("age %s, %d running: got %s, want %s", tc.age, tc.running, got, tc.want)
+		}
+	}
+}
+
+func TestReportsLagAndLie(t *testing.T) {
+	clock := time.Unix(1_000_000, 0)
+	stub := targetstub.NewStub(targetstub.WithClock(func() time.Time { return clock }))
+	status := func(method, path string) int {
+		w := httptest.NewRecorder()
+		stub.Handler().ServeHTTP(w, httptest.NewRequest(method, path, nil))
+		return w.Code
+	}
+	status("POST", "/fault?lag=5s")
+	if status("GET", "/health") != http.StatusOK {
+		t.Error("not healthy at first")
+	}
+	stub.Drain()
+	if status("GET", "/health") != http.StatusOK {
+		t.Error("the report doesn't lag")
+	}
+	clock = clock.Add(5 * time.Second)
+	if status("GET", "/health") != http.StatusServiceUnavailable {
+		t.Error("the report lags for ever")
+	}
+	status("POST", "/fault?health=good")
+	if status("GET", "/health") != http.StatusOK {
+		t.Error("the report doesn't lie")
+	}
+	if status("POST", "/fault?delay=x") != http.StatusBadRequest {
+		t.Error("took a malformed delay")
+	}
+}
