Add the audit trail

One object for each accepted change, named by UTC time and request ID, so that listing is in time order and writing a change twice gives the same object. The writer never blocks whoever adds an entry: a full queue counts a drop. Weighed: writing entries as rows in the transaction of the change itself, which would lose none but double the bytes of each transaction and leave rows that somebody has to clean up; the object store holds them without either.

--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,163 @@
+package audit_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"fulmarrun/audit"
+	"fulmarrun/platform"
+	"fulmarrun/platformstub"
+)
+
+var start = time.Date(2026, 12, 4, 3, 0, 0, 5, time.FixedZone("CST", -6*3600))
+
+func entry(i int) audit.Entry {
+	return audit.Entry{At: start.Add(time.Duration(i) * time.Minute), Who: "w", What: audit.Move, Change: fmt.Sprintf("c%d", i)}
+}
+
+// written adds the entries and runs the writer until it has written them.
+func written(t *testing.T, stub *platformstub.Stub, entries ...audit.Entry) audit.Counts {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := audit.NewWriter(stub.Store(), audit.WithDrain(time.Minute), audit.WithBackoff(
+		platform.WithSleep(func(context.Context, time.Duration) error { return nil })))
+	for _, e := range entries {
+		w.Add(e)
+	}
+	if err := w.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return w.Counts()
+}
+
+func changes(entries []audit.Entry) string {
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Change)
+	}
+	return strings.Join(names, " ")
+}
+
+func TestLists(t *testing.T) {
+	ctx := context.Background()
+	stub := platformstub.New()
+	store := stub.Store()
+	offsets := []int{2, 0, 1, 300, 100000, 2, 0}
+	entries := make([]audit.Entry, 0, len(offsets))
+	for _, i := range offsets {
+		entries = append(entries, entry(i))
+	}
+	if got := written(t, stub, entries...); got != (audit.Counts{Written: 7}) {
+		t.Fatalf("counts %+v", got)
+	}
+	now := start.Add(100000 * time.Minute)
+	cases := []struct {
+		name string
+		list func() ([]audit.Entry, error)
+		want string
+	}{
+		{"all", func() ([]audit.Entry, error) { return audit.List(ctx, store, time.Time{}, 99) }, "c0 c1 c2 c300 c100000"},
+		{"from a time on", func() ([]audit.Entry, error) { return audit.List(ctx, store, entry(1).At, 2) }, "c1 c2"},
+		{"newest", func() ([]audit.Entry, error) { return audit.Newest(ctx, store, now, 1) }, "c100000"},
+		{"newest of more", func() ([]audit.Entry, error) { return audit.Newest(ctx, store, now, 3) }, "c100000 c300 c2"},
+		{"newest of all", func() ([]audit.Entry, error) { return audit.Newest(ctx, store, now, 99) }, "c100000 c300 c2 c1 c0"},
+	}
+	for _, c := range cases {
+		got, err := c.list()
+		if err != nil || changes(got) != c.want {
+			t.Errorf("%s: got %s, %v", c.name, changes(got), err)
+		}
+	}
+	got, err := audit.List(ctx, store, time.Time{}, 1)
+	want := entry(0)
+	want.At = want.At.UTC()
+	if err != nil || len(got) != 1 || got[0] != want {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func TestNewestOverPages(t *testing.T) {
+	stub := platformstub.New()
+	const n = 2003
+	entries := make([]audit.Entry, 0, n)
+	for i := range n {
+		e := entry(0)
+		e.Change = fmt.Sprintf("c%04d", i)
+		entries = append(entries, e)
+	}
+	written(t, stub, entries...)
+	got, err := audit.Newest(context.Background(), stub.Store(), start, 5)
+	if err != nil || changes(got) != "c2002 c2001 c2000 c1999 c1998" {
+		t.Fatalf("got %s, %v", changes(got), err)
+	}
+}
+
+func TestNamesSortByTime(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(4))
+	properties.Property("a later entry has a greater name", prop.ForAll(func(a, b int64) bool {
+		first := audit.Entry{At: time.Unix(0, a).In(start.Location()), Change: "z"}
+		second := audit.Entry{At: time.Unix(0, a+b), Change: "a"}
+		return first.Name() < second.Name()
+	}, gen.Int64Range(0, 1<<61), gen.Int64Range(1, 1<<61)))
+	properties.TestingRun(t)
+}
+
+func TestOutage(t *testing.T) {
+	stub := platformstub.New(platformstub.WithFaults(platformstub.Faults{Outage: true}))
+	waits := 0
+	ctx, cancel := context.WithCancel(context.Background())
+	w := audit.NewWriter(stub.Store(), audit.WithQueue(2), audit.WithBackoff(
+		platform.WithSleep(func(context.Context, time.Duration) error {
+			if waits++; waits == 3 {
+				stub.SetFaults(platformstub.Faults{LoseNext: 1})
+				cancel()
+			}
+			return nil
+		})))
+	for i := range 5 {
+		if got := w.Add(entry(i)); got != (i < 2) {
+			t.Fatalf("entry %d: added %v", i, got)
+		}
+	}
+	if err := w.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.Counts(); got != (audit.Counts{Written: 2, Dropped: 3}) {
+		t.Fatalf("counts %+v", got)
+	}
+	got, err := audit.List(context.Background(), stub.Store(), time.Time{}, 99)
+	if err != nil || changes(got) != "c0 c1" {
+		t.Fatalf("got %s, %v", changes(got), err)
+	}
+}
+
+func TestLeft(t *testing.T) {
+	stub := platformstub.New(platformstub.WithFaults(platformstub.Faults{Outage: true}))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := audit.NewWriter(stub.Store(), audit.WithDrain(0))
+	w.Add(entry(0))
+	w.Add(entry(1))
+	if err := w.Run(ctx); err == nil {
+		t.Fatal("no error for entries left")
+	}
+	if got := w.Counts(); got != (audit.Counts{Left: 2}) {
+		t.Fatalf("counts %+v", got)
+	}
+}
+
+func TestRejected(t *testing.T) {
+	other := entry(0)
+	other.Who = "someone else"
+	if got := written(t, platformstub.New(), entry(0), other, audit.Entry{}); got != (audit.Counts{Written: 1, Rejected: 2}) {
+		t.Fatalf("counts %+v", got)
+	}
+}
