Read settings and the operators' file, and look requests up

Both files are JSON with comments. hujson gives the offsets from which every problem gets its line and column; the shapes are JSON Schemas, so that unknown fields are refused in one place, and only what a schema can't say is Go code.

A refused file is an *InvalidError with a list of Problems; a list that is an error itself was ruled out, since the linter asks for the Error suffix.

Numbers with an exponent and deep nesting are refused before the libraries see them: a big rational from 1e999999999 and a recursive parser would let a small file use any amount of memory.

Paths are matched escaped and keys are compared unescaped, so that two spellings of one key cannot have two owners. Segments that a target could resolve (empty, dot and dot-dot) match no wildcard. All keyed kinds of a service must name the same domains and targets, because a key has one owner for all of them.

--- /dev/null
+++ b/config/cost.go
@@ -0,0 +1,32 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// HedgePrice is the highest price at which a request may be hedged.
+const HedgePrice = 1.0
+
+// Cost is what it costs to run a request again.
+type Cost struct {
+	// Never is true if the request may run at most once.
+	Never bool
+	// Price is the cost of a repetition, where 0 is free; it is without meaning
+	// if Never is true.
+	Price float64
+}
+
+// UnmarshalJSON accepts a number or any string, which the schema has limited to
+// "never".
+func (c *Cost) UnmarshalJSON(data []byte) error {
+	if len(data) > 0 && data[0] == '"' {
+		*c = Cost{Never: true}
+		return nil
+	}
+	*c = Cost{}
+	if err := json.Unmarshal(data, &c.Price); err != nil {
+		return fmt.Errorf("read cost: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,66 @@
+package config_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"fulmarrun/config"
+)
+
+func seeds(f *testing.F) {
+	for _, name := range []string{"calor-tico.json", "clepsidra.json", "calor-tico-settings.json", "clepsidra-settings.json"} {
+		f.Add(example(f, name))
+	}
+	for _, text := range []string{
+		"", "{", "[]", "null", `{"services":null}`, `{"services":[{}]}`, `{"out":["a"],"out":[]}`, `{"services":[` + kindText + `,]}`,
+		`{"services":[{"name":"x","slots":1e99999,"kinds":[` + kindText + `]}]}`, `/*`, `"\ud800"`, strings.Repeat(`{"a":`, 70), routes,
+	} {
+		f.Add([]byte(text))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if got := config.Join(config.Split(data)); !bytes.Equal(got, data) {
+			t.Fatalf("joined sections are %q, want %q", got, data)
+		}
+		file, err := config.Parse("fuzz.json", data)
+		if err != nil {
+			return
+		}
+		if len(config.Split(data)) != len(file.Services)+1 {
+			t.Fatalf("%d sections for %d services", len(config.Split(data)), len(file.Services))
+		}
+		tab := config.NewTable(file, 1)
+		for i := range file.Services {
+			checkRoutes(t, tab, &file.Services[i])
+		}
+	})
+}
+
+// checkRoutes asks that each kind is found by its own path.
+func checkRoutes(t *testing.T, tab *config.Table, s *config.Service) {
+	for i := range s.Kinds {
+		k := &s.Kinds[i]
+		path := strings.NewReplacer("{", "~~", "}", "~~").Replace(k.Path)
+		m, ok := tab.Match(k.Method, "/"+s.Name+path)
+		if !ok {
+			t.Fatalf("%s %s of %s: no match: %v", k.Method, path, k.Name, m.Reason)
+		}
+		if m.Kind.Name != k.Name && !strings.Contains(k.Path, "{") {
+			t.Fatalf("%s %s matches %s, want %s", k.Method, path, m.Kind.Name, k.Name)
+		}
+	}
+}
+
+func FuzzParseSettings(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := config.ParseSettings("fuzz.json", data)
+		if err == nil && (s.Instance == "" || !s.Peer.IsValid() || s.Drain <= 0 || s.Body <= 0 || s.Header <= 0) {
+			t.Fatalf("accepted settings lack a value: %+v", *s)
+		}
+	})
+}
--- /dev/null
+++ b/config/key.go
@@ -0,0 +1,16 @@
+package config
+
+// Key says where a request carries its key. At most one field is set.
+type Key struct {
+	// Path is the name of a wildcard of the path.
+	Path string
+	// Header is the name of an HTTP header.
+	Header string
+	// Query is the name of a query parameter.
+	Query string
+}
+
+// Declared reports whether a place is named.
+func (k Key) Declared() bool {
+	return k != Key{}
+}
--- /dev/null
+++ b/config/kind.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"slices"
+	"time"
+)
+
+// Kind declares one kind of request and what it is worth.
+type Kind struct {
+	// Name is unique within the service.
+	Name string
+	// Method is the HTTP method.
+	Method string
+	// Path is the path as the target sees it, with wildcards such as {visit}
+	// that each stand for one segment.
+	Path string
+	// Key says where a request carries its key; it is zero if there is none.
+	Key Key
+	// Wait is how long a caller may be kept waiting for the answer.
+	Wait time.Duration
+	// Repeat is the cost of running the request again.
+	Repeat Cost
+	// Domains are the failure domains that may serve it; empty means all.
+	Domains []string
+	// Targets are the instances that may serve it; empty means all.
+	Targets []string
+	// Class says whether the request may use capacity that is not idle.
+	Class Class
+}
+
+// Repeatable reports whether the request is idempotent, so that it may be
+// retried.
+func (k *Kind) Repeatable() bool {
+	return !k.Repeat.Never
+}
+
+// Hedgeable reports whether the request may run twice at the same time to cut
+// its latency.
+func (k *Kind) Hedgeable() bool {
+	return k.Repeatable() && k.Repeat.Price <= HedgePrice
+}
+
+// Keyed reports whether only the owner of a key may serve the request.
+func (k *Kind) Keyed() bool {
+	return k.Key.Declared() || k.KeyedByID()
+}
+
+// KeyedByID reports whether the request ID is the key: the request may not be
+// repeated and names no other key.
+func (k *Kind) KeyedByID() bool {
+	return k.Repeat.Never && !k.Key.Declared()
+}
+
+// Serves reports whether a target in the given failure domain and instance may
+// serve the request.
+func (k *Kind) Serves(domain, instance string) bool {
+	if len(k.Domains) > 0 && !slices.Contains(k.Domains, domain) {
+		return false
+	}
+	return len(k.Targets) == 0 || slices.Contains(k.Targets, instance)
+}
--- /dev/null
+++ b/config/problem.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one reason for which a file is refused.
+type Problem struct {
+	// File is the name under which the file was given.
+	File string `json:"file"`
+	// Line is counted from 1.
+	Line int `json:"line"`
+	// Column is counted in bytes from 1.
+	Column int `json:"column"`
+	// Field is the path of the value, such as services[0].kinds[2].wait; it is
+	// empty for the file as a whole.
+	Field string `json:"field"`
+	// Want says what was expected.
+	Want string `json:"want"`
+	// Got says what was found.
+	Got string `json:"got"`
+}
+
+// String returns the problem in one line.
+func (p Problem) String() string {
+	field := p.Field
+	if field == "" {
+		field = "file"
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: want %s, got %s", p.File, p.Line, p.Column, field, p.Want, p.Got)
+}
+
+// Problems holds the reasons in the order of the lines.
+type Problems []Problem
+
+// String returns one line for each problem.
+func (p Problems) String() string {
+	lines := make([]string, 0, len(p))
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// InvalidError is the error of a refused file.
+type InvalidError struct {
+	// Problems holds at least one problem.
+	Problems Problems
+}
+
+// Error returns one line for each problem.
+func (e *InvalidError) Error() string {
+	return e.Problems.String()
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// DefaultDrain is the limit of a graceful stop if the settings do not say.
+const DefaultDrain = 30 * time.Second
+
+// DefaultBody is the size of the largest body in bytes if the settings do not
+// say.
+const DefaultBody = 1 << 20
+
+// DefaultHeader is the size of the largest header in bytes if the settings do
+// not say.
+const DefaultHeader = 64 << 10
+
+// DefaultLog is the log level if the settings do not say.
+const DefaultLog = "info"
+
+// Settings are those of one process.
+type Settings struct {
+	// Instance is the name of the instance, unique in the deployment.
+	Instance string
+	// Service is the service of the target beside the process.
+	Service string
+	// Region is the region of the instance.
+	Region string
+	// Domain is the failure domain of the instance.
+	Domain string
+	// Peer is the address for other daemons, TCP and UDP.
+	Peer netip.AddrPort
+	// Caller is the address for callers' HTTP requests.
+	Caller netip.AddrPort
+	// Target is the address on which the target announces itself.
+	Target netip.AddrPort
+	// Operator is the address for operators' commands.
+	Operator netip.AddrPort
+	// Platform is the address of the platform's service.
+	Platform netip.AddrPort
+	// Drain is the limit of a graceful stop.
+	Drain time.Duration
+	// Log is the level of the log: debug, info, warn or error.
+	Log string
+	// Body is the size of the largest body in bytes.
+	Body int64
+	// Header is the size of the largest header in bytes.
+	Header int
+}
+
+// ParseSettings reads the settings of one process. The name is used in error
+// messages only. A refused file gives an [*InvalidError].
+func ParseSettings(name string, data []byte) (*Settings, error) {
+	d := newDocument(name, data)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	if err := d.validate(settingsSchema); err != nil {
+		return nil, err
+	}
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	var raw rawSettings
+	if err := d.decode(&raw); err != nil {
+		return nil, err
+	}
+	settings := raw.settings(d)
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+type rawSettings struct {
+	Instance string       `json:"instance"`
+	Service  string       `json:"service"`
+	Region   string       `json:"region"`
+	Domain   string       `json:"domain"`
+	Peer     string       `json:"peer"`
+	Caller   string       `json:"caller"`
+	Target   string       `json:"target"`
+	Operator string       `json:"operator"`
+	Platform string       `json:"platform"`
+	Drain    *string      `json:"drain"`
+	Log      *string      `json:"log"`
+	Body     *json.Number `json:"body"`
+	Header   *json.Number `json:"header"`
+}
+
+func (r *rawSettings) settings(d *document) *Settings {
+	s := &Settings{
+		Instance: r.Instance,
+		Service:  r.Service,
+		Region:   r.Region,
+		Domain:   r.Domain,
+		Drain:    DefaultDrain,
+		Log:      DefaultLog,
+		Body:     DefaultBody,
+		Header:   DefaultHeader,
+	}
+	if r.Drain != nil {
+		s.Drain = d.duration("/drain", *r.Drain)
+		if s.Drain <= 0 || s.Drain > maxWait {
+			d.reportValue("/drain", "a duration above 0 and up to "+short(maxWait))
+		}
+	}
+	if r.Log != nil {
+		s.Log = *r.Log
+	}
+	if r.Body != nil {
+		s.Body = int64(d.integer("/body", *r.Body))
+	}
+	if r.Header != nil {
+		s.Header = d.integer("/header", *r.Header)
+	}
+	r.addresses(d, s)
+	return s
+}
+
+// addresses fills the addresses and reports those that are malformed or given
+// to two purposes.
+func (r *rawSettings) addresses(d *document, s *Settings) {
+	taken := make(map[netip.AddrPort]string)
+	for _, field := range []struct {
+		name string
+		text string
+		to   *netip.AddrPort
+	}{
+		{"peer", r.Peer, &s.Peer},
+		{"caller", r.Caller, &s.Caller},
+		{"target", r.Target, &s.Target},
+		{"operator", r.Operator, &s.Operator},
+		{"platform", r.Platform, &s.Platform},
+	} {
+		address, err := netip.ParseAddrPort(field.text)
+		if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+			d.reportValue("/"+field.name, `an IP number and a port, such as "10.0.1.7:7001"`)
+			continue
+		}
+		if other, ok := taken[address]; ok {
+			d.reportValue("/"+field.name, "another address than that of "+other)
+		}
+		taken[address] = field.name
+		*field.to = address
+	}
+}
+
+// short writes a duration without the units that are zero at its end.
+func short(value time.Duration) string {
+	text := value.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
