Add the operator protocol and the applier

Accepting a file is one transaction on one row, conditional on the row as read, after the sections are stored under their digests; so a file is in force whole or not at all, and of two files made from one version one is accepted. The row keeps the latest 64 request IDs, by which a repeated request finds what became of it after a lost reply and a later change.

The audit entry of a change depends on the row alone. Whoever reads the row writes it too, so that it is not lost with the daemon that accepted the change and stopped; writing it again changes nothing.

Weighed: keeping the file in the row, which would move all of it on each change; writing the audit entry before the row, which would record changes that lost.

--- a/audit/writer.go
+++ b/audit/writer.go
@@ -147,19 +147,14 @@
 		w.rejected.Inc(1)
 		return nil
 	}
-	backoff := platform.NewBackoff(w.backoff...)
-	for {
-		err := w.store.PutObject(ctx, e.Name(), data)
-		if err == nil {
-			w.written.Inc(1)
-			return nil
-		}
-		if !errors.Is(err, platform.ErrUnavailable) {
-			w.rejected.Inc(1)
-			return nil
-		}
-		if err := backoff.Wait(ctx); err != nil {
-			return fmt.Errorf("put audit entry: %w", err)
-		}
+	err = platform.Repeat(ctx, func() error { return w.store.PutObject(ctx, e.Name(), data) }, w.backoff...)
+	switch {
+	case err == nil:
+		w.written.Inc(1)
+	case errors.Is(err, platform.ErrUnavailable):
+		return fmt.Errorf("put audit entry: %w", err)
+	default:
+		w.rejected.Inc(1)
 	}
+	return nil
 }
--- /dev/null
+++ b/operator/applier.go
@@ -0,0 +1,231 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/audit"
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+// maxRecent is the number of accepted changes that a wire.Current remembers.
+const maxRecent = 64
+
+// Applier puts configuration files in force by writes to the platform.
+type Applier struct {
+	store   *platform.Store
+	now     func() time.Time
+	audit   func(audit.Entry)
+	backoff []platform.BackoffOption
+}
+
+// ApplierOption configures an Applier.
+type ApplierOption func(*Applier)
+
+// WithClock is a functional option that replaces the clock of an Applier.
+func WithClock(now func() time.Time) ApplierOption {
+	return func(a *Applier) { a.now = now }
+}
+
+// WithAudit is a functional option that names the function that is given the
+// audit entry of each accepted change. It is given an entry more than once.
+func WithAudit(add func(audit.Entry)) ApplierOption {
+	return func(a *Applier) { a.audit = add }
+}
+
+// WithBackoff is a functional option that configures the waits between
+// repeated calls to the platform.
+func WithBackoff(opts ...platform.BackoffOption) ApplierOption {
+	return func(a *Applier) { a.backoff = append(a.backoff, opts...) }
+}
+
+// NewApplier returns an Applier to store.
+func NewApplier(store *platform.Store, opts ...ApplierOption) *Applier {
+	a := &Applier{store: store, now: time.Now, audit: func(audit.Entry) {}}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Apply puts the file of req in force if the configuration that it was made
+// from still is. Sections are the parts of the text, in order. It goes on
+// through outages until ctx ends.
+//
+// The error is a *ConflictError if another configuration is in force, ErrBad for a
+// malformed request, ErrUnavailable if ctx ended with nothing in force, and
+// ErrUnknown if it ended while a write was on its way.
+func (a *Applier) Apply(ctx context.Context, req ApplyRequest, sections [][]byte) (ApplyReply, error) {
+	if err := req.Validate(); err != nil {
+		return ApplyReply{}, err
+	}
+	if !bytes.Equal(bytes.Join(sections, nil), req.Text) {
+		return ApplyReply{}, fmt.Errorf("%w: sections are not the parts of the text", ErrBad)
+	}
+	row, current, err := a.current(ctx)
+	if err != nil {
+		return ApplyReply{}, unavailable("read the configuration in force", err)
+	}
+	if current.Number > 0 {
+		// Whoever accepted it may have stopped before its entry was written.
+		a.audit(entry(current))
+	}
+	if number, ok := accepted(current, req.Change); ok {
+		return already(req, current, number)
+	}
+	if current.Number != req.Base {
+		return ApplyReply{}, conflict(current)
+	}
+	next := a.next(req, current, sections)
+	if err := a.putSections(ctx, current, next, sections); err != nil {
+		return ApplyReply{}, unavailable("store the sections", err)
+	}
+	return a.transact(ctx, row.Version, next)
+}
+
+// current reads the row of the configuration in force, which may be missing.
+func (a *Applier) current(ctx context.Context) (platform.Row, wire.Current, error) {
+	var row platform.Row
+	var current wire.Current
+	err := platform.Repeat(ctx, func() (err error) {
+		row, err = a.store.Get(ctx, CurrentKey)
+		return err
+	}, a.backoff...)
+	if errors.Is(err, platform.ErrMissing) {
+		return platform.Row{}, current, nil
+	}
+	if err != nil {
+		return row, current, fmt.Errorf("get %s: %w", CurrentKey, err)
+	}
+	if err := wire.Decode(row.Value, &current); err != nil {
+		return row, current, fmt.Errorf("get %s: %w", CurrentKey, err)
+	}
+	return row, current, nil
+}
+
+// next returns the configuration that follows current.
+func (a *Applier) next(req ApplyRequest, current wire.Current, sections [][]byte) wire.Current {
+	next := wire.Current{
+		Number: current.Number + 1,
+		Digest: Digest(req.Text),
+		Author: req.Author,
+		At:     a.now().UTC().Round(0),
+		Change: req.Change,
+	}
+	for _, s := range sections {
+		next.Sections = append(next.Sections, Digest(s))
+	}
+	next.Recent = append(next.Recent, wire.Accepted{Number: next.Number, Change: req.Change})
+	next.Recent = append(next.Recent, current.Recent[:min(len(current.Recent), maxRecent-1)]...)
+	return next
+}
+
+// putSections stores the sections of next that current lacks.
+func (a *Applier) putSections(ctx context.Context, current, next wire.Current, sections [][]byte) error {
+	stored := make(map[string]struct{}, len(current.Sections)+len(sections))
+	for _, digest := range current.Sections {
+		stored[digest] = struct{}{}
+	}
+	for i, digest := range next.Sections {
+		if _, ok := stored[digest]; ok {
+			continue
+		}
+		err := platform.Repeat(ctx, func() error {
+			return a.store.PutObject(ctx, ObjectName(digest), sections[i])
+		}, a.backoff...)
+		if err != nil {
+			return fmt.Errorf("put section %d: %w", i, err)
+		}
+		stored[digest] = struct{}{}
+	}
+	return nil
+}
+
+// transact writes next over the row at version.
+func (a *Applier) transact(ctx context.Context, version uint64, next wire.Current) (ApplyReply, error) {
+	value, err := wire.Encode(&next)
+	if err != nil {
+		return ApplyReply{}, fmt.Errorf("encode configuration: %w", err)
+	}
+	var seen wire.Current
+	outcome := platform.Settle(ctx, a.store, platform.Transaction{
+		ID:         next.Change,
+		Conditions: []platform.Condition{{Key: CurrentKey, Version: version}},
+		Writes:     []platform.Write{{Key: CurrentKey, Value: value}},
+	}, func(row platform.Row) bool {
+		seen = wire.Current{}
+		if err := wire.Decode(row.Value, &seen); err != nil {
+			return false
+		}
+		_, ok := accepted(seen, next.Change)
+		return ok
+	}, a.backoff...)
+	switch outcome.Verdict {
+	case platform.Applied:
+		if _, ok := accepted(seen, next.Change); !ok {
+			seen = next
+		}
+		a.audit(entry(seen))
+		return ApplyReply{Number: next.Number}, nil
+	case platform.Lost:
+		return ApplyReply{}, conflict(seen)
+	}
+	if outcome.Unanswered == 0 {
+		return ApplyReply{}, unavailable("write the configuration", outcome.Err)
+	}
+	return ApplyReply{}, fmt.Errorf("%w: %w", ErrUnknown, outcome.Err)
+}
+
+// accepted returns the number under which the change was accepted, if it was.
+func accepted(current wire.Current, change string) (uint64, bool) {
+	if current.Number > 0 && current.Change == change {
+		return current.Number, true
+	}
+	for _, r := range current.Recent {
+		if r.Change == change {
+			return r.Number, true
+		}
+	}
+	return 0, false
+}
+
+// already answers a repeated request.
+func already(req ApplyRequest, current wire.Current, number uint64) (ApplyReply, error) {
+	if number != req.Base+1 || (number == current.Number && current.Digest != Digest(req.Text)) {
+		return ApplyReply{}, fmt.Errorf("%w: the request ID is that of another request, accepted as %d", ErrBad, number)
+	}
+	return ApplyReply{Number: number, Already: true}, nil
+}
+
+func conflict(current wire.Current) *ConflictError {
+	return &ConflictError{Number: current.Number, Author: current.Author, At: current.At.UTC()}
+}
+
+// entry returns the audit entry of the change that put current in force. It
+// depends on nothing else, so that whoever writes it writes the same.
+func entry(current wire.Current) audit.Entry {
+	return audit.Entry{
+		At:      current.At,
+		Who:     current.Author,
+		What:    audit.Config,
+		Subject: CurrentKey,
+		From:    strconv.FormatUint(current.Number-1, 10),
+		To:      strconv.FormatUint(current.Number, 10),
+		Why:     "apply of " + current.Digest,
+		Change:  current.Change,
+	}
+}
+
+// unavailable says that nothing was put in force, for want of the platform.
+func unavailable(doing string, err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return fmt.Errorf("%w: %s: %w", ErrUnavailable, doing, err)
+	}
+	return fmt.Errorf("%s: %w", doing, err)
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,58 @@
+// Package operator is the protocol between the operator's command line and any
+// daemon, HTTP with JSON, and the logic that puts a configuration file in force.
+//
+// # Usage
+//
+// A daemon serves the abilities that it has:
+//
+//	server := operator.NewServer(operator.WithRegistry(registry))
+//	applier := operator.NewApplier(store, operator.WithAudit(func(e audit.Entry) { writer.Add(e) }))
+//	server.Apply = func(ctx context.Context, req operator.ApplyRequest) (operator.ApplyReply, error) {
+//		return applier.Apply(ctx, req, [][]byte{req.Text})
+//	}
+//	err := http.Serve(listener, server)
+//
+// The command line calls it:
+//
+//	client := operator.NewClient(netip.MustParseAddrPort("10.0.0.1:7200"))
+//	reply, err := operator.ApplyAny(ctx, []*operator.Client{client}, operator.ApplyRequest{
+//		Text: text, Base: 6, Author: "ana", Change: uuid.Must(uuid.NewV7()).String(),
+//	})
+//	var conflict *operator.Conflict
+//	if errors.As(err, &conflict) { … }
+//
+// # Protocol
+//
+//	POST /apply                   ApplyRequest -> ApplyReply
+//	GET  /show                    -> ShowReply
+//	GET  /status                  -> StatusReply
+//	GET  /audit?since=&limit=     -> AuditReply
+//	GET  /key?service=&key=       -> KeyReply
+//	POST /leave                   -> {}
+//	GET  /metrics                 -> metrics in Prometheus's text format
+//	GET  /healthz                 -> 200 while the process lives
+//	GET  /readyz                  -> 200 if the daemon takes work, else 503
+//
+// Bytes are in base64, times in RFC 3339, generations are decimal strings. A
+// refusal has a code, a reason, and what belongs to the code:
+//
+//	bad          400  ErrBad
+//	missing      404  ErrMissing
+//	conflict     409  *ConflictError
+//	large        413  ErrBad
+//	invalid      422  *InvalidError
+//	internal     500
+//	unsupported  501  ErrUnsupported
+//	unavailable  503  ErrUnavailable
+//	unknown      504  ErrUnknown
+//
+// # Which file is in force
+//
+// The row config/current holds a wire.Current. It names the sections of the
+// file by digest, each an object config/<digest> that is stored before the row
+// is written. A file is accepted at the moment the row is written, by one
+// transaction that is conditional on the row as read; so of two files made from
+// the same version one is accepted. The row remembers the latest request IDs,
+// by which a request that is repeated after a lost reply finds what became of
+// it.
+package operator
--- /dev/null
+++ b/operator/load.go
@@ -0,0 +1,51 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+// CurrentKey is the key of the row with the wire.Current in force.
+const CurrentKey = "config/current"
+
+// objectPrefix is the start of the name of each section's object.
+const objectPrefix = "config/"
+
+// Digest returns the SHA-256 of data in hexadecimal.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// ObjectName returns the name of the object that holds the section with the
+// given digest.
+func ObjectName(digest string) string {
+	return objectPrefix + digest
+}
+
+// Load reads the file that current describes. It returns ErrDigest if a section
+// or the whole is not what its digest says.
+func Load(ctx context.Context, store *platform.Store, current wire.Current) ([]byte, error) {
+	sections := make([][]byte, 0, len(current.Sections))
+	for _, digest := range current.Sections {
+		data, err := store.GetObject(ctx, ObjectName(digest))
+		if err != nil {
+			return nil, fmt.Errorf("load section %s: %w", digest, err)
+		}
+		if Digest(data) != digest {
+			return nil, fmt.Errorf("load section %s: %w", digest, ErrDigest)
+		}
+		sections = append(sections, data)
+	}
+	text := bytes.Join(sections, nil)
+	if Digest(text) != current.Digest {
+		return nil, fmt.Errorf("load configuration %d: %w", current.Number, ErrDigest)
+	}
+	return text, nil
+}
--- a/platformstub/faults.go
+++ b/platformstub/faults.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"fulmarrun/platform"
 )
 
 // Faults says how the stub misbehaves; the zero value is without fault.
@@ -30,40 +32,22 @@
 
 // faultsBody is the JSON form of Faults.
 type faultsBody struct {
-	Latency  duration `json:"latency"`
-	Reads    float64  `json:"reads"`
-	Writes   float64  `json:"writes"`
-	Outage   bool     `json:"outage"`
-	Lose     float64  `json:"lose"`
-	LoseNext int      `json:"losenext"`
-	Late     float64  `json:"late"`
-	LateNext int      `json:"latenext"`
-	Delay    duration `json:"delay"`
-}
-
-// duration is a time.Duration that is written as text.
-type duration time.Duration
-
-// MarshalText implements encoding.TextMarshaler.
-func (d duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("parse duration: %w", err)
-	}
-	*d = duration(v)
-	return nil
+	Latency  platform.Duration `json:"latency"`
+	Reads    float64           `json:"reads"`
+	Writes   float64           `json:"writes"`
+	Outage   bool              `json:"outage"`
+	Lose     float64           `json:"lose"`
+	LoseNext int               `json:"losenext"`
+	Late     float64           `json:"late"`
+	LateNext int               `json:"latenext"`
+	Delay    platform.Duration `json:"delay"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (f Faults) MarshalJSON() ([]byte, error) {
 	data, err := json.Marshal(faultsBody{
-		Latency: duration(f.Latency), Reads: f.Reads, Writes: f.Writes, Outage: f.Outage,
-		Lose: f.Lose, LoseNext: f.LoseNext, Late: f.Late, LateNext: f.LateNext, Delay: duration(f.Delay),
+		Latency: platform.Duration(f.Latency), Reads: f.Reads, Writes: f.Writes, Outage: f.Outage,
+		Lose: f.Lose, LoseNext: f.LoseNext, Late: f.Late, LateNext: f.LateNext, Delay: platform.Duration(f.Delay),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode faults: %w", err)
