Refuse a file that changes the number of a service's slots

Keys are hashed into slots, so another number would give most keys two owners during the change. The check needs the file that is replaced, which only the caller of Parse knows: hence an option. The number of problems and the size of a file are bounded, because each problem costs a scan for its line.

--- a/config/check.go
+++ b/config/check.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// checkChange reports what must not differ from the file that is replaced.
+func checkChange(d *document, f, previous *File) {
+	slots := make(map[string]int, len(previous.Services))
+	for i := range previous.Services {
+		slots[previous.Services[i].Name] = previous.Services[i].Slots
+	}
+	for i := range f.Services {
+		if want, ok := slots[f.Services[i].Name]; ok && want != f.Services[i].Slots {
+			d.reportValue(element("/services", i)+"/slots", fmt.Sprintf("%d as before, since slots cannot change", want))
+		}
+	}
+}
+
 func checkSame(d *document, at, field string, got, want []string, rival string) {
 	if slices.Equal(slices.Sorted(slices.Values(got)), slices.Sorted(slices.Values(want))) {
 		return
--- a/config/doc.go
+++ b/config/doc.go
@@ -15,8 +15,8 @@
 // A refused file gives an [*InvalidError] with [Problems]: each [Problem] has
 // the file, the line and the column (both counted from 1, columns in bytes), the
 // field, what was expected and what was found. Syntax is checked first, then the
-// shape, then the meaning; all problems that the first failing step finds are
-// returned together.
+// shape, then the meaning; the first hundred problems that the first failing
+// step finds are returned together.
 //
 // # Usage
 //
--- a/config/document.go
+++ b/config/document.go
@@ -15,7 +15,7 @@
 )
 
 // MaxSize is the length in bytes of the longest file that is read.
-const MaxSize = 4 << 20
+const MaxSize = 1 << 20
 
 // maxDepth is the number of objects and arrays that may be open at once.
 const maxDepth = 64
@@ -23,6 +23,9 @@
 // maxDigits is the length in bytes of the longest number.
 const maxDigits = 20
 
+// maxProblems is the number of problems that are reported at once.
+const maxProblems = 100
+
 // document is a parsed file that finds the line and column of its values and
 // collects problems.
 type document struct {
@@ -125,6 +128,9 @@
 }
 
 func (d *document) reportOffset(offset int, field, want, got string) {
+	if len(d.problems) >= maxProblems {
+		return
+	}
 	before := d.data[:min(offset, len(d.data))]
 	d.problems = append(d.problems, Problem{
 		File:   d.name,
@@ -193,12 +199,15 @@
 // excerpt returns the value's text in one short line.
 func excerpt(text []byte) string {
 	const maxLength = 60
+	if len(text) > 4*maxLength {
+		text = text[:4*maxLength]
+	}
 	line := strings.Join(strings.Fields(string(text)), " ")
 	if len(line) <= maxLength {
 		return line
 	}
 	cut := maxLength
-	for !utf8.RuneStart(line[cut]) {
+	for cut > 0 && !utf8.RuneStart(line[cut]) {
 		cut--
 	}
 	return line[:cut] + "…"
--- a/config/file.go
+++ b/config/file.go
@@ -14,9 +14,27 @@
 	Services []Service
 }
 
+// Option configures Parse.
+type Option func(*options)
+
+type options struct {
+	previous *File
+}
+
+// WithPrevious is a functional option that names the file that is to be
+// replaced, so that a change that is not possible is refused too: the slots of a
+// service must stay as they are.
+func WithPrevious(f *File) Option {
+	return func(o *options) { o.previous = f }
+}
+
 // Parse reads the operators' file. The name is used in error messages only. A
 // refused file gives an [*InvalidError].
-func Parse(name string, data []byte) (*File, error) {
+func Parse(name string, data []byte, opts ...Option) (*File, error) {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	d := newDocument(name, data)
 	if err := d.err(); err != nil {
 		return nil, err
@@ -33,6 +51,9 @@
 	}
 	file := raw.file(d)
 	checkFile(d, file)
+	if o.previous != nil {
+		checkChange(d, file, o.previous)
+	}
 	if err := d.err(); err != nil {
 		return nil, err
 	}
--- a/config/file_test.go
+++ b/config/file_test.go
@@ -148,6 +148,27 @@
 	}
 }
 
+func TestParseWithPrevious(t *testing.T) {
+	data := example(t, "calor-tico.json")
+	previous, err := config.Parse("calor-tico.json", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := config.Parse("same.json", data, config.WithPrevious(previous)); err != nil {
+		t.Errorf("same file: %v", err)
+	}
+	added := strings.Replace(string(data), `"name": "agenda"`, `"name": "citas"`, 1)
+	if _, err := config.Parse("added.json", []byte(strings.Replace(added, "1024", "2048", 1)), config.WithPrevious(previous)); err != nil {
+		t.Errorf("another service: %v", err)
+	}
+	changed := strings.Replace(string(data), "1024", "2048", 1)
+	_, err = config.Parse("changed.json", []byte(changed), config.WithPrevious(previous))
+	const want = "changed.json:13:16: services[0].slots: want 1024 as before, since slots cannot change, got 2048"
+	if err == nil || err.Error() != want {
+		t.Errorf("changed slots: %v\nwant %s", err, want)
+	}
+}
+
 func BenchmarkParse(b *testing.B) {
 	for _, kinds := range []int{10, 100, 1000} {
 		data := fileOf(kinds)
