--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,313 @@
+package control
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"fulmarrun/handover"
+	"fulmarrun/lease"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// TickInterval is how often the shell sends a Tick.
+	TickInterval = 50 * time.Millisecond
+
+	upkeepInterval  = 250 * time.Millisecond
+	compareInterval = 2 * time.Second
+	probeInterval   = 200 * time.Millisecond
+	// storeFresh is how long ago the platform may have answered for a step that
+	// needs it to be started.
+	storeFresh = time.Second
+	// settleTime is how long the members must be unchanged before slots move
+	// for balance alone.
+	settleTime = time.Second
+	// retainClosed is how long the row of a closed generation is kept.
+	retainClosed = 10 * time.Minute
+)
+
+// Option configures a Core.
+type Option func(*Core)
+
+// WithSeed is a functional option that sets the seed of all random choices.
+func WithSeed(seed uint64) Option {
+	return func(c *Core) { c.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// WithLease is a functional option that passes options to the lease.
+func WithLease(opts ...lease.Option) Option {
+	return func(c *Core) { c.leaseOptions = opts }
+}
+
+// WithNames is a functional option that sets the source of request IDs.
+func WithNames(name func() string) Option {
+	return func(c *Core) { c.name = name }
+}
+
+// Core is the control state of one generation.
+type Core struct {
+	leaseOptions []lease.Option
+	random       *rand.Rand
+	name         func() string
+
+	// self is the own row as last known to be in the table.
+	self    wire.Member
+	version uint64
+	joined  bool
+	closed  bool
+	leaving string
+	// writing is true while a write of the own row is under way.
+	writing bool
+	// closing is true from the start of the write that closes the own row.
+	closing  bool
+	drained  bool
+	draining bool
+
+	view    *routes.View
+	holder  *lease.Holder
+	witness *lease.Witness
+
+	takeovers   map[wire.Generation]*takeover
+	predecessor map[wire.Generation]time.Time
+	orphans     map[wire.Generation]time.Time
+
+	config   ConfigLoaded
+	loading  uint64
+	planning bool
+	moving   bool
+
+	storeAnswered time.Time
+	wall          time.Time
+	nextUpkeep    time.Time
+	nextCompare   time.Time
+	nextProbe     time.Time
+	membersSince  time.Time
+	compareTurn   int
+
+	effects []Effect
+}
+
+// NewCore returns the state of a generation that has not joined yet.
+func NewCore(self wire.Member, opts ...Option) *Core {
+	c := &Core{
+		self:        self,
+		view:        routes.NewView(),
+		takeovers:   make(map[wire.Generation]*takeover),
+		predecessor: make(map[wire.Generation]time.Time),
+		orphans:     make(map[wire.Generation]time.Time),
+	}
+	WithSeed(uint64(self.Generation))(c)
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.holder = lease.NewHolder(self.Generation, c.leaseOptions...)
+	c.witness = lease.NewWitness(self.Generation, c.leaseOptions...)
+	return c
+}
+
+// Snapshot returns the routes for traffic.
+func (c *Core) Snapshot() *routes.Snapshot { return c.view.Snapshot() }
+
+// LeaseUntil returns the end of the lease; the zero time if there is none.
+func (c *Core) LeaseUntil() time.Time {
+	if !c.joined || c.closing || c.closed {
+		return time.Time{}
+	}
+	return c.holder.Until()
+}
+
+// Self returns the own row as last known.
+func (c *Core) Self() wire.Member { return c.self }
+
+// Step takes one message and returns what is to be done. The slice is valid
+// until the next call.
+func (c *Core) Step(now time.Time, message Message) []Effect {
+	clear(c.effects)
+	c.effects = c.effects[:0]
+	if c.closed {
+		return nil
+	}
+	switch m := message.(type) {
+	case Tick:
+		c.tick(now, m)
+	case Heartbeat:
+		c.heartbeat(now, m.Heartbeat)
+	case RowsArrived:
+		c.rowsArrived(now, m)
+	case Loaded:
+		c.loaded(now, m)
+	case WriteDone:
+		c.writeDone(now, m)
+	case VoteArrived:
+		m.Reply(c.witness.Vote(now, m.Vote))
+	case VerdictArrived:
+		c.verdict(now, m)
+	case SummaryArrived:
+		c.summary(m)
+	case VersionsAsked:
+		m.Reply(wire.Versions{
+			From: c.self.Generation, Buckets: m.Buckets, Have: c.view.Versions(m.Buckets),
+		})
+	case VersionsArrived:
+		m.Reply(wire.Rows{From: c.self.Generation, Rows: c.view.Newer(m.Versions.Buckets, m.Versions.Have)})
+	case ConfigLoaded:
+		c.configLoaded(m)
+	case LeaveAsked:
+		c.leaving = m.Reason
+	case MoveReady:
+		c.moveReady(now, m)
+	case MoveFailed:
+		c.moving = false
+	case Drained:
+		c.drained = true
+	}
+	return c.effects
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) tick(now time.Time, m Tick) {
+	c.storeAnswered, c.wall = m.StoreAnswered, m.Wall
+	c.witness.Tick(now)
+	if !c.joined {
+		return
+	}
+	c.beat(now)
+	c.runTakeovers(now)
+	c.startMove(now)
+	if now.Before(c.nextUpkeep) {
+		return
+	}
+	c.nextUpkeep = now.Add(upkeepInterval)
+	c.keepSelf(now)
+	c.findTakeovers(now)
+	c.plan(now)
+	c.compare(now)
+}
+
+// storeReady tells whether the platform has answered a moment ago, and asks for
+// a sign of life if not.
+func (c *Core) storeReady(now time.Time) bool {
+	if now.Sub(c.storeAnswered) < storeFresh {
+		return true
+	}
+	if !now.Before(c.nextProbe) {
+		c.nextProbe = now.Add(probeInterval)
+		c.emit(Probe{})
+	}
+	return false
+}
+
+// put takes rows into the view and spreads those that are news.
+func (c *Core) put(now time.Time, from wire.Generation, rows []wire.Row) {
+	var news []wire.Row
+	for _, row := range rows {
+		if row.Version == 0 {
+			continue
+		}
+		if isNew, err := c.view.Put(row); err == nil && isNew {
+			news = append(news, row)
+			c.noticeRow(now, row)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	if to := c.neighbours(from); len(to) > 0 && c.joined {
+		c.emit(SpreadRows{To: to, Rows: news})
+	}
+}
+
+// noticeRow keeps what is derived from rows in step with them.
+func (c *Core) noticeRow(now time.Time, row wire.Row) {
+	if row.Key == routes.ConfigKey {
+		c.loadConfig(wire.Generation(0))
+		return
+	}
+	var m wire.Member
+	if row.Deleted || wire.Decode(row.Value, &m) != nil || m.Generation == 0 {
+		return
+	}
+	if routes.MemberKey(m.Generation) != row.Key {
+		return
+	}
+	c.noticeMember(now, m, row.Version)
+}
+
+func (c *Core) noticeMember(now time.Time, m wire.Member, version uint64) {
+	c.membersSince = now
+	if m.Generation == c.self.Generation {
+		c.noticeSelf(m, version)
+		return
+	}
+	if m.State == wire.StateClosed {
+		c.witness.Forget(m.Generation)
+		delete(c.takeovers, m.Generation)
+		for _, t := range c.takeovers {
+			if t.attempt != nil {
+				t.attempt.Closed(m, now)
+			}
+		}
+		return
+	}
+	if slices.Contains(m.Witnesses, c.self.Generation) {
+		c.witness.Watch(m.Generation, now)
+	} else {
+		c.witness.Forget(m.Generation)
+	}
+}
+
+func (c *Core) noticeSelf(m wire.Member, version uint64) {
+	if version <= c.version {
+		return
+	}
+	c.self, c.version = m, version
+	if m.State == wire.StateClosed {
+		c.closed = true
+		c.emit(Closed{Reason: m.Reason})
+	}
+}
+
+func (c *Core) rowsArrived(now time.Time, m RowsArrived) { c.put(now, m.From, m.Rows) }
+
+func (c *Core) addr(g wire.Generation) netip.AddrPort {
+	if m := c.view.Member(g); m != nil {
+		return m.Peer
+	}
+	return netip.AddrPort{}
+}
+
+// openMembers returns the members that are not closed, without self.
+func (c *Core) openMembers() []wire.Member {
+	var out []wire.Member
+	for _, m := range c.view.Members() {
+		if m.State != wire.StateClosed && m.Generation != c.self.Generation {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
+// eligible tells whether a member may be given slots.
+func (c *Core) eligible(o *routes.Owner) bool {
+	if o.State != wire.StateActive || slices.Contains(c.config.Out, o.Domain) {
+		return false
+	}
+	return c.config.Serves == nil || c.config.Serves(o.Service, o.Domain, o.Instance)
+}
+
+func (c *Core) shape() (ServiceShape, bool) {
+	for _, s := range c.config.Services {
+		if s.Name == c.self.Service {
+			return s, true
+		}
+	}
+	return ServiceShape{}, false
+}
+
+func (c *Core) ownPlan() []handover.Move {
+	return handover.Plan(c.view.Snapshot(), c.self.Service, c.eligible, c.self.Generation)
+}
--- /dev/null
+++ b/control/effect.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"net/netip"
+
+	"fulmarrun/audit"
+	"fulmarrun/handover"
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+// Effect is what a Core asks its shell to do; the types of this file and no
+// others.
+type Effect interface{ effect() }
+
+// SendHeartbeat sends a datagram.
+type SendHeartbeat struct {
+	To        netip.AddrPort
+	Heartbeat wire.Heartbeat
+}
+
+// AskVote asks a witness whether a lease has run out.
+type AskVote struct {
+	To      netip.AddrPort
+	Witness wire.Generation
+	Vote    wire.Vote
+}
+
+// Purpose tells what a Write is for.
+type Purpose uint8
+
+const (
+	// PurposeSelf changes the daemon's own row.
+	PurposeSelf Purpose = iota
+	// PurposeTakeover closes another generation.
+	PurposeTakeover
+	// PurposePlan assigns free slots.
+	PurposePlan
+	// PurposeMove gives own slots away.
+	PurposeMove
+)
+
+// Write is a conditional transaction; the shell repeats it until its outcome is
+// known and then sends WriteDone.
+type Write struct {
+	Purpose     Purpose
+	Subject     wire.Generation
+	Transaction platform.Transaction
+	Entry       audit.Entry
+	// Move is what a write for PurposeMove completes.
+	Move Move
+}
+
+// SpreadRows sends rows to peers.
+type SpreadRows struct {
+	To   []netip.AddrPort
+	Rows []wire.Row
+}
+
+// Compare compares rows with a peer and fetches what is newer there.
+type Compare struct {
+	To      netip.AddrPort
+	Summary wire.Summary
+}
+
+// LoadConfig fetches a configuration and puts it in force.
+type LoadConfig struct {
+	Current wire.Current
+	// From is a peer that has it; invalid for the platform alone.
+	From netip.AddrPort
+}
+
+// Move prepares to give slots of one row away: the shell stops admission to
+// them, waits for what runs there, sends their records to the next owners and
+// then sends MoveReady, or MoveFailed.
+type Move struct {
+	Moves []handover.Move
+	First uint32
+	// Transfer names this hand-over; the records are sent under it.
+	Transfer uint64
+	Reason   string
+}
+
+// MoveEnd ends a Move whose outcome is known: the shell admits requests again,
+// which are routed anew.
+type MoveEnd struct {
+	Move    Move
+	Applied bool
+}
+
+// Probe asks the platform for any answer.
+type Probe struct{}
+
+// Drain stops admission and waits for running requests; Drained ends it.
+type Drain struct{}
+
+// Closed says that this generation is ended and must serve nothing.
+type Closed struct{ Reason string }
+
+// Empty says that a leaving daemon owns nothing any more, or has none to give
+// its slots to, and has closed its row.
+type Empty struct{}
+
+func (SendHeartbeat) effect() {}
+func (AskVote) effect()       {}
+func (Write) effect()         {}
+func (SpreadRows) effect()    {}
+func (Compare) effect()       {}
+func (LoadConfig) effect()    {}
+func (Move) effect()          {}
+func (MoveEnd) effect()       {}
+func (Closed) effect()        {}
+func (Probe) effect()         {}
+func (Drain) effect()         {}
+func (Empty) effect()         {}
--- /dev/null
+++ b/control/message.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"time"
+
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+// Message is what a Core reacts to; the types of this file and no others.
+type Message interface{ message() }
+
+// Tick lets time pass; the shell sends one every TickInterval.
+type Tick struct {
+	// StoreAnswered is when the platform last gave any answer.
+	StoreAnswered time.Time
+	// Wall is the wall clock.
+	Wall time.Time
+}
+
+// Heartbeat is a datagram that arrived.
+type Heartbeat struct{ wire.Heartbeat }
+
+// RowsArrived are rows from a peer or from the platform.
+type RowsArrived struct {
+	// From is the generation that sent them; zero for the platform.
+	From wire.Generation
+	Rows []wire.Row
+}
+
+// Loaded ends the first reading of the platform's rows.
+type Loaded struct{ Rows []wire.Row }
+
+// WriteDone is the known result of a Write.
+type WriteDone struct {
+	Write   Write
+	Applied bool
+	Rows    []platform.Row
+}
+
+// VoteArrived is a peer's question; the answer goes through Reply.
+type VoteArrived struct {
+	Vote  wire.Vote
+	Reply func(wire.Verdict)
+}
+
+// VerdictArrived answers an AskVote.
+type VerdictArrived struct {
+	Witness wire.Generation
+	Verdict wire.Verdict
+}
+
+// SummaryArrived is a peer's summary; the buckets that differ go to Reply.
+type SummaryArrived struct {
+	Summary wire.Summary
+	Reply   func(wire.Versions)
+}
+
+// VersionsAsked wants the versions known in some buckets.
+type VersionsAsked struct {
+	Buckets []uint32
+	Reply   func(wire.Versions)
+}
+
+// VersionsArrived asks for newer rows; they go to Reply.
+type VersionsArrived struct {
+	Versions wire.Versions
+	Reply    func(wire.Rows)
+}
+
+// ConfigLoaded says that the configuration of a number is in force here.
+type ConfigLoaded struct {
+	Number   uint64
+	Out      []string
+	Services []ServiceShape
+	// Serves tells whether an instance may serve all keyed kinds of a service.
+	Serves func(service, domain, instance string) bool
+}
+
+// ServiceShape is what planning needs to know of a service.
+type ServiceShape struct {
+	Name  string
+	Slots uint32
+}
+
+// LeaveAsked starts a planned leave.
+type LeaveAsked struct{ Reason string }
+
+// MoveReady says that nothing runs in the slots of a Move and that their
+// records are with the next owners.
+type MoveReady struct{ Move Move }
+
+// MoveFailed says that a Move was given up and its slots are admitted again.
+type MoveFailed struct{ Move Move }
+
+// Drained says that no request runs at a leaving daemon any more.
+type Drained struct{}
+
+func (Tick) message()            {}
+func (Heartbeat) message()       {}
+func (RowsArrived) message()     {}
+func (Loaded) message()          {}
+func (WriteDone) message()       {}
+func (VoteArrived) message()     {}
+func (VerdictArrived) message()  {}
+func (SummaryArrived) message()  {}
+func (VersionsAsked) message()   {}
+func (VersionsArrived) message() {}
+func (ConfigLoaded) message()    {}
+func (LeaveAsked) message()      {}
+func (MoveReady) message()       {}
+func (MoveFailed) message()      {}
+func (Drained) message()         {}
--- /dev/null
+++ b/control/move.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"fulmarrun/audit"
+	"fulmarrun/handover"
+	"fulmarrun/platform"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// startMove begins the next hand-over of own slots, one row at a time.
+func (c *Core) startMove(now time.Time) {
+	if c.moving || c.closing || c.planning || !c.holder.Valid(now) {
+		return
+	}
+	mustGo := !c.eligible(&routes.Owner{
+		State: c.self.State, Service: c.self.Service, Domain: c.self.Domain, Instance: c.self.Instance,
+	})
+	if !mustGo && now.Sub(c.membersSince) < settleTime {
+		return
+	}
+	moves := c.ownPlan()
+	if len(moves) == 0 || !c.storeReady(now) {
+		return
+	}
+	why := "balance"
+	if mustGo {
+		why = "the owner leaves or its failure domain is out"
+	}
+	c.emitMove(moves, why)
+}
+
+func (c *Core) emitMove(moves []handover.Move, why string) {
+	snapshot := c.view.Snapshot()
+	count := snapshot.Count(c.self.Service)
+	first := rowOf(moves[0], count)
+	row := c.view.SlotsRow(c.self.Service, first)
+	if row == nil {
+		return
+	}
+	var batch []handover.Move
+	for _, m := range moves {
+		if rowOf(m, count) == first {
+			batch = append(batch, m)
+		}
+	}
+	c.moving = true
+	c.emit(Move{Moves: batch, First: first, Transfer: c.random.Uint64() | 1, Reason: why})
+}
+
+func rowOf(m handover.Move, count uint32) uint32 {
+	slot := m.Slot
+	if m.Key != "" {
+		slot = routes.SlotOf(m.Key, count)
+	}
+	return slot - slot%routes.SlotsPerRow
+}
+
+// moveReady writes the change of hands, now that nothing runs in the slots and
+// their records are with the next owners. The write is conditional on the own
+// row too: once that is closed, the heirs own what was not given before.
+func (c *Core) moveReady(now time.Time, m MoveReady) {
+	row := c.view.SlotsRow(c.self.Service, m.Move.First)
+	if c.writing || c.closing || row == nil || !c.holder.Valid(now) {
+		c.moving = false
+		c.emit(MoveEnd{Move: m.Move})
+		return
+	}
+	slots, ok := c.changeHands(row, m.Move)
+	if !ok {
+		c.moving = false
+		c.emit(MoveEnd{Move: m.Move})
+		return
+	}
+	c.writeMove(m.Move, row, slots)
+}
+
+// changeHands returns the row after the moves, and whether self owns all of what
+// is to be given.
+func (c *Core) changeHands(row *routes.SlotsRow, move Move) (wire.Slots, bool) {
+	out := c.fill(*row, []wire.Generation{0}).Slots
+	for _, m := range move.Moves {
+		at := slotEntry(&out, m)
+		if at == nil || at.Owner != c.self.Generation {
+			return out, false
+		}
+		*at = wire.Slot{Owner: m.To, Epoch: at.Epoch + 1, Transfer: move.Transfer}
+		if m.Key != "" {
+			setHot(&out, m.Key, *at)
+		}
+	}
+	return out, true
+}
+
+func slotEntry(row *wire.Slots, m handover.Move) *wire.Slot {
+	if m.Key == "" {
+		return &row.Slots[m.Slot-row.First]
+	}
+	for i := range row.Hot {
+		if row.Hot[i].Key == m.Key {
+			s := row.Hot[i].Slot
+			return &s
+		}
+	}
+	if !m.Split {
+		return nil
+	}
+	s := row.Slots[m.Slot-row.First]
+	return &s
+}
+
+func setHot(row *wire.Slots, key string, s wire.Slot) {
+	for i := range row.Hot {
+		if row.Hot[i].Key == key {
+			row.Hot[i].Slot = s
+			return
+		}
+	}
+	row.Hot = append(row.Hot, wire.HotKey{Key: key, Slot: s})
+}
+
+func (c *Core) writeMove(move Move, row *routes.SlotsRow, slots wire.Slots) {
+	change := c.name()
+	slots.Change = change
+	next := c.self
+	next.Change, next.Reason = change, move.Reason
+	next.Given = given(c.self.Given, slots.First, slots.Number)
+	slotsValue, slotsErr := wire.Encode(&slots)
+	selfValue, selfErr := wire.Encode(&next)
+	if slotsErr != nil || selfErr != nil {
+		c.moving = false
+		c.emit(MoveEnd{Move: move})
+		return
+	}
+	slotsKey := routes.SlotsKey(slots.Service, slots.First)
+	selfKey := routes.MemberKey(c.self.Generation)
+	c.writing = true
+	c.emit(Write{
+		Purpose: PurposeMove, Move: move,
+		Transaction: platform.Transaction{
+			ID: change,
+			Conditions: []platform.Condition{
+				{Key: slotsKey, Version: row.Version}, {Key: selfKey, Version: c.version},
+			},
+			Writes: []platform.Write{
+				{Key: slotsKey, Value: slotsValue}, {Key: selfKey, Value: selfValue},
+			},
+		},
+		Entry: audit.Entry{
+			Who: c.self.Instance, What: "move", Subject: slotsKey,
+			From: names([]wire.Generation{c.self.Generation}), To: takersOf(move), Why: move.Reason, Change: change,
+		},
+	})
+}
+
+// given returns the list with the row that starts at first at number.
+func given(list []wire.Given, first uint32, number uint64) []wire.Given {
+	out := slices.Clone(list)
+	for i := range out {
+		if out[i].First == first {
+			out[i].Number = number
+			return out
+		}
+	}
+	return append(out, wire.Given{First: first, Number: number})
+}
+
+func takersOf(move Move) string {
+	var to []wire.Generation
+	for _, m := range move.Moves {
+		if !slices.Contains(to, m.To) {
+			to = append(to, m.To)
+		}
+	}
+	return names(to)
+}
--- /dev/null
+++ b/control/plan.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"fulmarrun/audit"
+	"fulmarrun/platform"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// rowsPerPlan bounds the rows of slots that one transaction assigns.
+const rowsPerPlan = 16
+
+// isPlanner tells whether self plans for a service: the member that ranks first
+// does. Two that both think so waste work but break nothing.
+func (c *Core) isPlanner(service string) bool {
+	var best wire.Generation
+	var most uint64
+	for _, o := range c.view.Snapshot().Members(service) {
+		if !c.eligible(o) {
+			continue
+		}
+		if rank := routes.Mix(uint64(len(service)), uint64(o.Generation)); best == 0 || rank > most {
+			best, most = o.Generation, rank
+		}
+	}
+	return best == c.self.Generation
+}
+
+// plan assigns free slots and replaces closed owners by the heirs that the
+// chain gives anyway.
+func (c *Core) plan(now time.Time) {
+	shape, ok := c.shape()
+	if !ok || c.planning || !c.isPlanner(c.self.Service) {
+		return
+	}
+	rows := c.rowsToWrite(shape)
+	if len(rows) == 0 {
+		c.collect(now)
+		return
+	}
+	if !c.storeReady(now) {
+		return
+	}
+	change := c.name()
+	tx := platform.Transaction{ID: change}
+	for _, row := range rows {
+		row.Change = change
+		value, err := wire.Encode(&row.Slots)
+		if err != nil {
+			return
+		}
+		key := routes.SlotsKey(row.Service, row.First)
+		tx.Conditions = append(tx.Conditions, platform.Condition{Key: key, Version: row.Version})
+		tx.Writes = append(tx.Writes, platform.Write{Key: key, Value: value})
+	}
+	c.planning = true
+	c.emit(Write{
+		Purpose: PurposePlan, Transaction: tx,
+		Entry: audit.Entry{
+			Who: c.self.Instance, What: "assign", Subject: c.self.Service,
+			To: tx.Writes[0].Key, Why: "slots without an open owner in their row", Change: change,
+		},
+	})
+}
+
+// rowsToWrite returns some rows that have a free slot or a closed owner, as they
+// should be. The first row is written alone, since it fixes the slot count.
+func (c *Core) rowsToWrite(shape ServiceShape) []routes.SlotsRow {
+	takers := c.takers()
+	if len(takers) == 0 {
+		return nil
+	}
+	first := c.view.SlotsRow(shape.Name, 0)
+	if first == nil {
+		return []routes.SlotsRow{c.fill(c.newRow(shape.Name, shape.Slots, 0), takers)}
+	}
+	var out []routes.SlotsRow
+	for at := uint32(0); at < first.Count && len(out) < rowsPerPlan; at += routes.SlotsPerRow {
+		row := c.view.SlotsRow(shape.Name, at)
+		if row == nil {
+			out = append(out, c.fill(c.newRow(shape.Name, first.Count, at), takers))
+			continue
+		}
+		if c.needsWrite(row) {
+			out = append(out, c.fill(*row, takers))
+		}
+	}
+	return out
+}
+
+func (c *Core) newRow(service string, count, first uint32) routes.SlotsRow {
+	return routes.SlotsRow{Slots: wire.Slots{
+		Service: service, Count: count, First: first,
+		Slots: make([]wire.Slot, min(routes.SlotsPerRow, count-first)),
+	}}
+}
+
+func (c *Core) needsWrite(row *routes.SlotsRow) bool {
+	for i, s := range row.Slots.Slots {
+		r := c.view.Resolve(row, s, row.First+uint32(i), "")
+		if r.Known && (r.Owner == 0 || r.Owner != s.Owner) {
+			return true
+		}
+	}
+	for _, h := range row.Hot {
+		r := c.view.Resolve(row, h.Slot, 0, h.Key)
+		if r.Known && r.Owner != h.Owner {
+			return true
+		}
+	}
+	return false
+}
+
+// fill returns the row with every chain folded and every free slot assigned.
+func (c *Core) fill(row routes.SlotsRow, takers []wire.Generation) routes.SlotsRow {
+	resolved := row
+	row.Number++
+	row.Slots.Slots = slices.Clone(row.Slots.Slots)
+	for i, s := range row.Slots.Slots {
+		slot := row.First + uint32(i)
+		row.Slots.Slots[i] = c.fold(&resolved, s, slot, "", takers[int(slot)%len(takers)])
+	}
+	row.Hot = slices.Clone(row.Hot)
+	for i, h := range row.Hot {
+		row.Hot[i].Slot = c.fold(&resolved, h.Slot, 0, h.Key, takers[i%len(takers)])
+	}
+	return row
+}
+
+func (c *Core) fold(row *routes.SlotsRow, s wire.Slot, slot uint32, hot string, taker wire.Generation) wire.Slot {
+	r := c.view.Resolve(row, s, slot, hot)
+	switch {
+	case !r.Known:
+		return s
+	case r.Owner == 0:
+		return wire.Slot{Owner: taker, Epoch: r.Epoch + 1}
+	default:
+		return wire.Slot{Owner: r.Owner, Epoch: r.Epoch, Transfer: r.Transfer}
+	}
+}
+
+func (c *Core) takers() []wire.Generation {
+	var out []wire.Generation
+	for _, o := range c.view.Snapshot().Members(c.self.Service) {
+		if c.eligible(o) {
+			out = append(out, o.Generation)
+		}
+	}
+	return out
+}
+
+// collect deletes the row of one long closed member that no row of slots names.
+func (c *Core) collect(now time.Time) {
+	for _, m := range c.view.Members() {
+		if m.Service != c.self.Service || m.State != wire.StateClosed ||
+			c.wall.Sub(m.Joined) < retainClosed || c.referenced(m.Generation) {
+			continue
+		}
+		if !c.storeReady(now) {
+			return
+		}
+		key := routes.MemberKey(m.Generation)
+		change := c.name()
+		c.planning = true
+		c.emit(Write{
+			Purpose: PurposePlan,
+			Transaction: platform.Transaction{
+				ID:         change,
+				Conditions: []platform.Condition{{Key: key, Version: m.Version}},
+				Writes:     []platform.Write{{Key: key, Delete: true}},
+			},
+			Entry: audit.Entry{
+				Who: c.self.Instance, What: "forget", Subject: m.Instance,
+				From: key, Why: "closed long ago and owns nothing", Change: change,
+			},
+		})
+		return
+	}
+}
+
+func (c *Core) referenced(g wire.Generation) bool {
+	shape, ok := c.shape()
+	if !ok {
+		return true
+	}
+	for at := uint32(0); at < shape.Slots; at += routes.SlotsPerRow {
+		row := c.view.SlotsRow(shape.Name, at)
+		if row == nil {
+			return true
+		}
+		for _, s := range row.Slots.Slots {
+			if s.Owner == g {
+				return true
+			}
+		}
+		for _, h := range row.Hot {
+			if h.Owner == g {
+				return true
+			}
+		}
+	}
+	return c.inherits(g)
+}
+
+// inherits tells whether a closed row that is still kept names g as an heir.
+func (c *Core) inherits(g wire.Generation) bool {
+	for _, m := range c.view.Members() {
+		if m.State == wire.StateClosed && slices.Contains(m.Heirs, g) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/spread.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// fanout is how many peers each daemon passes news to.
+const fanout = 4
+
+// neighbours returns the peers that news is passed to: the next member on each
+// of several rings, each in an order of its own. Together the rings make a
+// random graph in which every daemon is a few steps from every other.
+func (c *Core) neighbours(except wire.Generation) []netip.AddrPort {
+	members := c.openMembers()
+	var chosen []wire.Generation
+	for ring := range min(fanout, len(members)) {
+		if g := next(members, c.self.Generation, uint64(ring), chosen); g != 0 {
+			chosen = append(chosen, g)
+		}
+	}
+	var out []netip.AddrPort
+	for _, g := range chosen {
+		if g != except {
+			out = append(out, c.addr(g))
+		}
+	}
+	return out
+}
+
+// next returns the member that follows self on a ring and is not taken yet.
+func next(members []wire.Member, self wire.Generation, ring uint64, taken []wire.Generation) wire.Generation {
+	var after, first wire.Generation
+	var afterRank, firstRank uint64
+	own := routes.Mix(ring, uint64(self))
+	for _, m := range members {
+		if slices.Contains(taken, m.Generation) {
+			continue
+		}
+		rank := routes.Mix(ring, uint64(m.Generation))
+		if rank > own && (after == 0 || rank < afterRank) {
+			after, afterRank = m.Generation, rank
+		}
+		if first == 0 || rank < firstRank {
+			first, firstRank = m.Generation, rank
+		}
+	}
+	if after != 0 {
+		return after
+	}
+	return first
+}
+
+// compare checks the rows against one neighbour now and then, which repairs
+// whatever the spreading has lost.
+func (c *Core) compare(now time.Time) {
+	if now.Before(c.nextCompare) {
+		return
+	}
+	c.nextCompare = now.Add(compareInterval)
+	to := c.neighbours(0)
+	if len(to) == 0 {
+		return
+	}
+	c.compareTurn++
+	c.emit(Compare{
+		To: to[c.compareTurn%len(to)],
+		Summary: wire.Summary{
+			From: c.self.Generation, Buckets: c.view.Buckets(), Config: c.config.Number,
+		},
+	})
+}
+
+// summary answers with what is known in the buckets that differ, so that the
+// sender returns what is newer.
+func (c *Core) summary(m SummaryArrived) {
+	differing := c.view.Differing(m.Summary.Buckets)
+	m.Reply(wire.Versions{
+		From: c.self.Generation, Buckets: differing, Have: c.view.Versions(differing),
+	})
+}
+
+func (c *Core) loadConfig(from wire.Generation) {
+	current := c.view.Config()
+	if current.Number <= c.config.Number || current.Number <= c.loading {
+		return
+	}
+	c.loading = current.Number
+	c.emit(LoadConfig{Current: current, From: c.addr(from)})
+}
+
+// configLoaded puts a configuration in force, never one with a lower number.
+func (c *Core) configLoaded(m ConfigLoaded) {
+	if m.Number > c.config.Number {
+		c.config = m
+	}
+}
+
+func names(generations []wire.Generation) string {
+	out := make([]string, 0, len(generations))
+	for _, g := range generations {
+		out = append(out, fmt.Sprintf("%016x", uint64(g)))
+	}
+	return strings.Join(out, ",")
+}
--- /dev/null
+++ b/control/takeover.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"fulmarrun/audit"
+	"fulmarrun/lease"
+	"fulmarrun/platform"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// takeoverPatience is how long an attempt may gather votes before it starts
+	// again from the row as it is then.
+	takeoverPatience = time.Second
+	// orphanWait is how long a member may have too few open witnesses before
+	// the planner tries to close it.
+	orphanWait = 3 * time.Second
+	// maxHeirs bounds the heirs named in a closed row.
+	maxHeirs = 32
+)
+
+// takeover is one attempt to close a generation.
+type takeover struct {
+	attempt *lease.Takeover
+	version uint64
+	since   time.Time
+	writing bool
+}
+
+// findTakeovers starts attempts on holders whose lease has run out.
+func (c *Core) findTakeovers(now time.Time) {
+	if c.closing {
+		return
+	}
+	for _, g := range c.witness.Overdue(now) {
+		c.startTakeover(now, g)
+	}
+	for _, m := range c.view.Members() {
+		if c.orphaned(now, m) {
+			c.startTakeover(now, m.Generation)
+		}
+	}
+}
+
+// orphaned tells whether a member has had too few open witnesses for so long
+// that it has to be presumed lost with them, and self is to act on it.
+func (c *Core) orphaned(now time.Time, m *routes.MemberRow) bool {
+	if m.State == wire.StateClosed || m.Generation == c.self.Generation || len(m.Witnesses) == 0 {
+		return false
+	}
+	open := 0
+	for _, w := range m.Witnesses {
+		if r := c.view.Member(w); r != nil && r.State != wire.StateClosed {
+			open++
+		}
+	}
+	if _, votes := lease.Quorum(len(m.Witnesses)); open >= votes {
+		delete(c.orphans, m.Generation)
+		return false
+	}
+	since, seen := c.orphans[m.Generation]
+	if !seen {
+		c.orphans[m.Generation] = now
+		return false
+	}
+	return now.Sub(since) > orphanWait && c.isPlanner(m.Service)
+}
+
+func (c *Core) startTakeover(now time.Time, g wire.Generation) {
+	row := c.view.Member(g)
+	if row == nil || row.State == wire.StateClosed {
+		return
+	}
+	if t := c.takeovers[g]; t != nil {
+		stale := t.version != row.Version || now.Sub(t.since) > takeoverPatience
+		if t.writing || !stale {
+			return
+		}
+	}
+	t := &takeover{
+		attempt: lease.NewTakeover(row.Member, row.Version, now, c.takeoverOptions()...),
+		version: row.Version, since: now,
+	}
+	for _, w := range row.Witnesses {
+		if r := c.view.Member(w); r != nil && r.State == wire.StateClosed {
+			t.attempt.Closed(r.Member, now)
+		}
+	}
+	c.takeovers[g] = t
+}
+
+func (c *Core) takeoverOptions() []lease.Option {
+	return append(slices.Clone(c.leaseOptions), lease.WithAsker(c.self.Generation))
+}
+
+func (c *Core) runTakeovers(now time.Time) {
+	c.closePredecessors(now)
+	for g, t := range c.takeovers {
+		if t.writing {
+			continue
+		}
+		if c.storeReady(now) {
+			c.askVotes(now, t)
+		}
+		if t.attempt.Decided(now) {
+			c.writeTakeover(now, g, t)
+		}
+	}
+}
+
+func (c *Core) askVotes(now time.Time, t *takeover) {
+	for _, ask := range t.attempt.Ask(now, c.storeAnswered) {
+		vote := ask.Vote
+		vote.From = c.self.Generation
+		if ask.To == c.self.Generation {
+			t.attempt.Verdict(now, ask.To, c.witness.Vote(now, vote))
+			continue
+		}
+		if to := c.addr(ask.To); to.IsValid() {
+			c.emit(AskVote{To: to, Witness: ask.To, Vote: vote})
+		}
+	}
+}
+
+func (c *Core) verdict(now time.Time, m VerdictArrived) {
+	t := c.takeovers[m.Verdict.Holder]
+	if t == nil || t.writing {
+		return
+	}
+	t.attempt.Verdict(now, m.Witness, m.Verdict)
+	if t.attempt.Decided(now) {
+		c.writeTakeover(now, m.Verdict.Holder, t)
+	}
+}
+
+func (c *Core) writeTakeover(_ time.Time, g wire.Generation, t *takeover) {
+	row := c.view.Member(g)
+	if row == nil || row.Version != t.version || row.State == wire.StateClosed {
+		delete(c.takeovers, g)
+		return
+	}
+	heirs := c.heirs(row.Member)
+	tx, err := t.attempt.Transaction(c.self, c.version, heirs, c.name(), "its lease ran out")
+	if err != nil {
+		return
+	}
+	t.writing = true
+	c.emitTakeover(row.Member, tx, heirs, "its lease ran out")
+}
+
+func (c *Core) emitTakeover(row wire.Member, tx platform.Transaction, heirs []wire.Generation, why string) {
+	c.emit(Write{
+		Purpose: PurposeTakeover, Subject: row.Generation, Transaction: tx,
+		Entry: audit.Entry{
+			Who: c.self.Instance, What: "takeover", Subject: row.Instance,
+			From: names([]wire.Generation{row.Generation}), To: names(heirs), Why: why, Change: tx.ID,
+		},
+	})
+}
+
+// closePredecessors closes the generations that held the own address before.
+func (c *Core) closePredecessors(now time.Time) {
+	for g, due := range c.predecessor {
+		row := c.view.Member(g)
+		if row == nil || row.State == wire.StateClosed {
+			delete(c.predecessor, g)
+			continue
+		}
+		if now.Before(due) || c.takeovers[g] != nil && c.takeovers[g].writing || !c.storeReady(now) {
+			continue
+		}
+		c.closePredecessor(now, row)
+	}
+}
+
+// closePredecessor writes the close without votes. The row that it writes names
+// no witnesses, so that it does not count as a vote elsewhere.
+func (c *Core) closePredecessor(now time.Time, row *routes.MemberRow) {
+	heirs := []wire.Generation{c.self.Generation}
+	if c.self.State != wire.StateActive {
+		heirs = c.heirs(row.Member)
+	}
+	const why = "its successor has held its address since"
+	next := row.Member
+	next.State, next.Heirs, next.Witnesses = wire.StateClosed, heirs, nil
+	next.Change, next.Reason = c.name(), why
+	value, err := wire.Encode(&next)
+	if err != nil {
+		return
+	}
+	key := routes.MemberKey(row.Generation)
+	tx := platform.Transaction{
+		ID: next.Change,
+		Conditions: []platform.Condition{
+			{Key: routes.MemberKey(c.self.Generation), Version: c.version},
+			{Key: key, Version: row.Version},
+		},
+		Writes: []platform.Write{{Key: key, Value: value}},
+	}
+	c.takeovers[row.Generation] = &takeover{version: row.Version, since: now, writing: true}
+	c.emitTakeover(row.Member, tx, heirs, why)
+}
+
+// heirs returns who is to share the slots of a closing generation: those that
+// may own, outside its failure domain where there are any.
+func (c *Core) heirs(m wire.Member) []wire.Generation {
+	overdue := c.witness.Overdue(c.nextUpkeep)
+	var near, far []wire.Generation
+	for _, o := range c.view.Snapshot().Members(m.Service) {
+		switch {
+		case o.Generation == m.Generation, !c.eligible(o), slices.Contains(overdue, o.Generation),
+			c.takeovers[o.Generation] != nil:
+		case o.Domain == m.Domain:
+			near = append(near, o.Generation)
+		default:
+			far = append(far, o.Generation)
+		}
+	}
+	if len(far) == 0 {
+		far = near
+	}
+	if len(far) <= maxHeirs {
+		return far
+	}
+	routes.Rank(far, uint64(m.Generation))
+	return far[:maxHeirs]
+}
--- /dev/null
+++ b/daemon/configs.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"fulmarrun/config"
+	"fulmarrun/control"
+	"fulmarrun/operator"
+	"fulmarrun/peer"
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+// fetchTimeout bounds the fetch of one section from a peer.
+const fetchTimeout = time.Second
+
+// configs holds the sections of the configuration in force and fetches those of
+// the next.
+type configs struct {
+	store *platform.Store
+	peers *peer.Client
+
+	mu       sync.Mutex
+	sections map[string][]byte
+	current  wire.Current
+	text     []byte
+}
+
+func newConfigs(store *platform.Store, peers *peer.Client) *configs {
+	return &configs{store: store, peers: peers, sections: make(map[string][]byte)}
+}
+
+// section returns a section that is held here, or nil.
+func (c *configs) section(digest string) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sections[digest]
+}
+
+// shown returns the configuration in force as it was applied.
+func (c *configs) shown() (wire.Current, []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current, c.text
+}
+
+// load returns the text of a configuration, from here, the peer or the platform.
+func (c *configs) load(ctx context.Context, current wire.Current, from netip.AddrPort) ([]byte, error) {
+	sections := make([][]byte, 0, len(current.Sections))
+	for _, digest := range current.Sections {
+		data := c.section(digest)
+		if data == nil {
+			data = c.fetch(ctx, digest, from)
+		}
+		if data == nil {
+			var err error
+			if data, err = c.store.GetObject(ctx, operator.ObjectName(digest)); err != nil {
+				return nil, fmt.Errorf("load section: %w", err)
+			}
+		}
+		c.keep(digest, data)
+		sections = append(sections, data)
+	}
+	text := bytes.Join(sections, nil)
+	if operator.Digest(text) != current.Digest {
+		return nil, fmt.Errorf("configuration %d: %w", current.Number, operator.ErrDigest)
+	}
+	return text, nil
+}
+
+func (c *configs) fetch(ctx context.Context, digest string, from netip.AddrPort) []byte {
+	if !from.IsValid() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	object, err := peer.Call[wire.Object](ctx, c.peers, from, peer.KindFetch, &wire.Fetch{Digest: digest})
+	if err != nil || operator.Digest(object.Data) != digest {
+		return nil
+	}
+	return object.Data
+}
+
+func (c *configs) keep(digest string, data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sections[digest] = data
+}
+
+// enforce notes the configuration in force and drops the sections of others.
+func (c *configs) enforce(current wire.Current, text []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current, c.text = current, text
+	kept := make(map[string][]byte, len(current.Sections))
+	for _, digest := range current.Sections {
+		if data, ok := c.sections[digest]; ok {
+			kept[digest] = data
+		}
+	}
+	c.sections = kept
+}
+
+// configMessage brings a loaded configuration to the control goroutine.
+type configMessage struct {
+	control.ConfigLoaded
+	table   *config.Table
+	current wire.Current
+	text    []byte
+}
+
+// loadConfig fetches a configuration, for as long as no newer one is wanted.
+func (i *incarnation) loadConfig(ctx context.Context, e control.LoadConfig) {
+	backoff := platform.NewBackoff()
+	for {
+		m, err := i.readConfig(ctx, e)
+		if err == nil {
+			i.post(ctx, m)
+			return
+		}
+		i.d.log.Warn("configuration not loaded", "instance", i.self.Instance, "number", e.Current.Number, "err", err)
+		if backoff.Wait(ctx) != nil {
+			return
+		}
+	}
+}
+
+func (i *incarnation) readConfig(ctx context.Context, e control.LoadConfig) (configMessage, error) {
+	text, err := i.d.configs.load(ctx, e.Current, e.From)
+	if err != nil {
+		return configMessage{}, err
+	}
+	file, err := config.Parse("configuration", text)
+	if err != nil {
+		return configMessage{}, fmt.Errorf("configuration %d: %w", e.Current.Number, err)
+	}
+	table := config.NewTable(file, e.Current.Number)
+	return configMessage{
+		ConfigLoaded: shapeOf(file, table), table: table, current: e.Current, text: text,
+	}, nil
+}
+
+// shapeOf returns what planning needs to know of a configuration.
+func shapeOf(file *config.File, table *config.Table) control.ConfigLoaded {
+	out := control.ConfigLoaded{Number: table.Number(), Out: file.Out}
+	for _, s := range table.Services() {
+		if s.Keyed() {
+			out.Services = append(out.Services, control.ServiceShape{Name: s.Name, Slots: uint32(s.Slots)})
+		}
+	}
+	out.Serves = func(service, domain, instance string) bool {
+		s, ok := table.Service(service)
+		if !ok {
+			return false
+		}
+		for k := range s.Kinds {
+			if s.Kinds[k].Keyed() && !s.Kinds[k].Serves(domain, instance) {
+				return false
+			}
+		}
+		return true
+	}
+	return out
+}
+
+// configure puts a configuration in force here, never one with a lower number.
+func (i *incarnation) configure(m configMessage) {
+	if old := i.d.table.Load(); old != nil && old.Number() >= m.Number {
+		return
+	}
+	i.d.table.Store(m.table)
+	i.d.configs.enforce(m.current, m.text)
+	i.d.log.Info("configuration in force", "instance", i.self.Instance, "number", m.Number, "author", m.current.Author)
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,305 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"fulmarrun/admission"
+	"fulmarrun/audit"
+	"fulmarrun/caller"
+	"fulmarrun/config"
+	"fulmarrun/control"
+	"fulmarrun/forward"
+	"fulmarrun/handover"
+	"fulmarrun/operator"
+	"fulmarrun/owner"
+	"fulmarrun/peer"
+	"fulmarrun/platform"
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithLogger is a functional option that sets where events are logged.
+func WithLogger(l *log.Logger) Option {
+	return func(d *Daemon) { d.log = l }
+}
+
+// WithRegistry is a functional option that sets the registry of the metrics.
+func WithRegistry(r metrics.Registry) Option {
+	return func(d *Daemon) { d.registry = r }
+}
+
+// WithAdmission is a functional option that passes options to the admission of
+// the target, the retry budget and the pools.
+func WithAdmission(opts ...admission.Option) Option {
+	return func(d *Daemon) { d.admission = opts }
+}
+
+// Daemon is the process beside one target.
+type Daemon struct {
+	settings  config.Settings
+	store     *platform.Store
+	log       *log.Logger
+	registry  metrics.Registry
+	admission []admission.Option
+
+	gate      *admission.Gate
+	client    *target.Client
+	server    *owner.Server
+	units     *handover.Units
+	forwarder *forward.Forwarder
+	peers     *peer.Client
+	datagrams *peer.Datagrams
+	audit     *audit.Writer
+	applier   *operator.Applier
+	configs   *configs
+	counters  counters
+
+	listeners listeners
+	current   atomic.Pointer[incarnation]
+	table     atomic.Pointer[config.Table]
+
+	targetMu sync.Mutex
+	target   announced
+	grants   *target.Grants
+	granted  wire.Generation
+	grantNow chan struct{}
+
+	leaveOnce sync.Once
+	leave     chan string
+
+	abortOnce sync.Once
+	aborted   chan struct{}
+}
+
+// ErrAborted is returned by Run after Abort.
+var ErrAborted = errors.New("aborted")
+
+// listeners are the sockets of the process.
+type listeners struct {
+	peer     net.Listener
+	caller   net.Listener
+	target   net.Listener
+	operator net.Listener
+}
+
+// New binds the sockets of a daemon, so that an address that is in use is found
+// before anything starts.
+func New(settings config.Settings, store *platform.Store, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings: settings, store: store,
+		log:      log.New(io.Discard),
+		registry: metrics.NewRegistry(),
+		units:    handover.NewUnits(),
+		peers:    peer.NewClient(),
+		leave:    make(chan string, 1),
+		grantNow: make(chan struct{}, 1),
+		aborted:  make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.gate = admission.NewGate(d.admission...)
+	d.server = owner.NewServer(d.gate, d.units)
+	d.client = target.NewClient(target.WithCheck(d.server.CheckFence))
+	d.server.SetClient(d.client)
+	d.forwarder = forward.NewForwarder(d.server, d.peers, forward.WithAdmission(d.admission...))
+	d.audit = audit.NewWriter(store, audit.WithRegistry(d.registry))
+	d.applier = operator.NewApplier(store, operator.WithAudit(func(e audit.Entry) { d.audit.Add(e) }))
+	d.configs = newConfigs(d.store, d.peers)
+	d.counters = newCounters(d.registry)
+	if err := d.bind(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) bind() error {
+	s := d.settings
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Peer))
+	if err != nil {
+		return fmt.Errorf("bind heartbeats: %w", err)
+	}
+	d.datagrams = peer.NewDatagrams(udp)
+	// The TCP port follows the UDP port, also when the settings leave it open.
+	bound := addrOf(udp.LocalAddr())
+	for _, b := range []struct {
+		to   *net.Listener
+		addr string
+		what string
+	}{
+		{&d.listeners.peer, bound.String(), "peers"},
+		{&d.listeners.caller, s.Caller.String(), "callers"},
+		{&d.listeners.target, s.Target.String(), "target"},
+		{&d.listeners.operator, s.Operator.String(), "operators"},
+	} {
+		if *b.to, err = net.Listen("tcp", b.addr); err != nil {
+			d.unbind()
+			return fmt.Errorf("bind %s: %w", b.what, err)
+		}
+	}
+	d.settings.Peer = bound
+	d.settings.Caller = addrOf(d.listeners.caller.Addr())
+	d.settings.Target = addrOf(d.listeners.target.Addr())
+	d.settings.Operator = addrOf(d.listeners.operator.Addr())
+	return nil
+}
+
+// addrOf returns the address that a socket is bound to.
+func addrOf(a net.Addr) netip.AddrPort {
+	switch a := a.(type) {
+	case *net.TCPAddr:
+		return a.AddrPort()
+	case *net.UDPAddr:
+		return a.AddrPort()
+	default:
+		return netip.AddrPort{}
+	}
+}
+
+func (d *Daemon) unbind() {
+	_ = d.datagrams.Close()
+	for _, l := range []net.Listener{d.listeners.peer, d.listeners.caller, d.listeners.target, d.listeners.operator} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Settings returns the settings with the addresses that are bound.
+func (d *Daemon) Settings() config.Settings { return d.settings }
+
+// Leave starts a planned leave; Run returns when it is done.
+func (d *Daemon) Leave(reason string) {
+	d.leaveOnce.Do(func() { d.leave <- reason })
+}
+
+// Abort ends Run as a crash would: nothing is handed over and nothing finishes.
+func (d *Daemon) Abort() {
+	d.abortOnce.Do(func() { close(d.aborted) })
+}
+
+// Run serves until ctx ends or Leave is called, and then leaves gracefully:
+// slots are handed over and running requests finish, within the drain limit.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.unbind()
+	stopped, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		select {
+		case <-ctx.Done():
+			d.Leave("asked to stop")
+		case <-stopped.Done():
+		}
+	}()
+	g := d.actors(stopped)
+	if err := g.Run(); err != nil {
+		return fmt.Errorf("daemon %s: %w", d.settings.Instance, err)
+	}
+	return nil
+}
+
+// actors returns the parts of the process; the first to end ends all.
+func (d *Daemon) actors(ctx context.Context) *run.Group {
+	g := &run.Group{}
+	server := d.peerServer()
+	callers := d.callerServer()
+	d.addServer(g, callers, d.listeners.caller)
+	d.addServer(g, d.targetServer(), d.listeners.target)
+	d.addServer(g, d.operatorServer(), d.listeners.operator)
+	g.Add(func() error { return server.Serve(d.listeners.peer) }, func(error) {
+		_ = d.listeners.peer.Close()
+		server.Close()
+		d.peers.Close()
+	})
+	g.Add(func() error { return d.datagrams.Serve(d.receive) }, func(error) { _ = d.datagrams.Close() })
+	g.Add(func() error { <-d.aborted; return ErrAborted }, func(error) { d.Abort() })
+	d.addActor(ctx, g, d.audit.Run)
+	d.addActor(ctx, g, d.pushGrants)
+	d.addActor(ctx, g, d.watchTarget)
+	d.addActor(ctx, g, func(ctx context.Context) error { return d.live(ctx, callers) })
+	return g
+}
+
+func (d *Daemon) addActor(ctx context.Context, g *run.Group, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+func (d *Daemon) addServer(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", l.Addr(), err)
+		}
+		// A server that was shut down for a planned leave leaves the end of the
+		// process to the actor that shut it down.
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
+}
+
+// live runs one incarnation after another until a planned leave is done.
+func (d *Daemon) live(ctx context.Context, callers *http.Server) error {
+	for ctx.Err() == nil {
+		i := newIncarnation(d)
+		d.current.Store(i)
+		left, err := i.run(ctx)
+		if err != nil {
+			return err
+		}
+		if left {
+			return d.shutDown(ctx, callers)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		d.log.Warn("generation closed", "generation", i.self.Generation, "instance", d.settings.Instance)
+	}
+	return nil
+}
+
+// shutDown lets the requests of callers finish.
+func (d *Daemon) shutDown(ctx context.Context, callers *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		return fmt.Errorf("finish callers' requests: %w", err)
+	}
+	for d.server.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	return nil
+}
+
+func (d *Daemon) receive(_ netip.AddrPort, hb wire.Heartbeat) {
+	if i := d.current.Load(); i != nil {
+		i.offer(control.Heartbeat{Heartbeat: hb})
+	}
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	handler := caller.NewHandler(d.table.Load, d.forwarder.Route, caller.WithMaxBody(d.settings.Body))
+	return &http.Server{
+		Handler: d.counters.count(handler), MaxHeaderBytes: d.settings.Header,
+		ReadHeaderTimeout: headerTimeout,
+	}
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,20 @@
+// Package daemon puts the parts together into the process that runs beside one
+// target.
+//
+// # Structure
+//
+// A Daemon lives as long as the process. It owns the sockets, the target and its
+// admission, and the configuration in force. An incarnation lives as long as one
+// generation: it owns the control state, the memory of request IDs and the slots.
+// If a generation is closed by its peers while the process lives, because it was
+// paused or cut off, the daemon starts the next one.
+//
+// One goroutine of the incarnation owns the control state; it carries out the
+// effects that must keep their order itself and starts goroutines for all that
+// can block. Traffic never waits for it.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, store, daemon.WithLogger(logger))
+//	err = d.Run(ctx) // until ctx ends and the daemon has left gracefully
+package daemon
--- /dev/null
+++ b/daemon/effects.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"time"
+
+	"fulmarrun/audit"
+	"fulmarrun/control"
+	"fulmarrun/peer"
+	"fulmarrun/platform"
+	"fulmarrun/wire"
+)
+
+const (
+	// voteTimeout bounds the wait for a witness's testimony.
+	voteTimeout = 300 * time.Millisecond
+	// rowsTimeout bounds the exchange of rows with a peer.
+	rowsTimeout = 2 * time.Second
+	// probeTimeout bounds the wait for a sign of life of the platform.
+	probeTimeout = time.Second
+)
+
+// carryOut does what the core asks for; whatever can block runs apart.
+func (i *incarnation) carryOut(e control.Effect) {
+	switch e := e.(type) {
+	case control.SendHeartbeat:
+		_ = i.d.datagrams.Send(e.To, &e.Heartbeat)
+	case control.AskVote:
+		i.spawn(func(ctx context.Context) { i.askVote(ctx, e) })
+	case control.Write:
+		i.spawn(func(ctx context.Context) { i.write(ctx, e) })
+	case control.SpreadRows:
+		for _, to := range e.To {
+			i.spawn(func(ctx context.Context) { i.sendRows(ctx, to, e.Rows) })
+		}
+	case control.Compare:
+		i.spawn(func(ctx context.Context) { i.compare(ctx, e) })
+	case control.LoadConfig:
+		i.spawn(func(ctx context.Context) { i.loadConfig(ctx, e) })
+	case control.Move:
+		i.spawn(func(ctx context.Context) { i.prepareMove(ctx, e) })
+	case control.Probe:
+		i.spawn(i.probe)
+	case control.Drain:
+		i.spawn(i.drain)
+	case control.Closed:
+		i.closed = true
+		i.d.log.Warn("closed by a peer", "instance", i.self.Instance, "generation", i.self.Generation, "reason", e.Reason)
+	case control.Empty:
+		i.left = true
+		i.d.log.Info("left", "instance", i.self.Instance, "generation", i.self.Generation)
+	}
+}
+
+func (i *incarnation) askVote(ctx context.Context, e control.AskVote) {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	verdict, err := peer.Call[wire.Verdict](ctx, i.d.peers, e.To, peer.KindVote, &e.Vote)
+	if err != nil {
+		return
+	}
+	i.post(ctx, control.VerdictArrived{Witness: e.Witness, Verdict: *verdict})
+}
+
+// write repeats a transaction until its outcome is known.
+func (i *incarnation) write(ctx context.Context, w control.Write) {
+	out := platform.Settle(ctx, i.d.store, w.Transaction, written(w.Transaction))
+	if out.Verdict == platform.Unknown {
+		if ctx.Err() == nil {
+			i.d.log.Error("write rejected", "instance", i.self.Instance, "err", out.Err)
+		}
+		return
+	}
+	applied := out.Verdict == platform.Applied
+	if applied && w.Entry.Change != "" {
+		i.record(w.Entry)
+	}
+	i.post(ctx, control.WriteDone{Write: w, Applied: applied, Rows: out.Rows})
+}
+
+// written recognizes a row as the transaction's own: its value carries the
+// request ID.
+func written(tx platform.Transaction) func(platform.Row) bool {
+	return func(row platform.Row) bool {
+		for _, w := range tx.Writes {
+			if w.Key == row.Key {
+				return w.Delete && row.Version == 0 || !w.Delete && bytes.Equal(w.Value, row.Value)
+			}
+		}
+		return false
+	}
+}
+
+func (i *incarnation) record(e audit.Entry) {
+	e.At = time.Now().UTC()
+	i.d.audit.Add(e)
+	i.d.log.Info("change", "what", e.What, "who", e.Who, "subject", e.Subject, "from", e.From, "to", e.To, "why", e.Why)
+}
+
+func (i *incarnation) sendRows(ctx context.Context, to netip.AddrPort, rows []wire.Row) {
+	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
+	defer cancel()
+	_, _ = peer.Call[wire.Ack](ctx, i.d.peers, to, peer.KindRows, &wire.Rows{From: i.self.Generation, Rows: rows})
+}
+
+// compare exchanges with a peer whatever one has newer than the other.
+func (i *incarnation) compare(ctx context.Context, e control.Compare) {
+	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
+	defer cancel()
+	theirs, err := peer.Call[wire.Versions](ctx, i.d.peers, e.To, peer.KindSummary, &e.Summary)
+	if err != nil || len(theirs.Buckets) == 0 {
+		return
+	}
+	newer := ask(ctx, i, func(reply func(wire.Rows)) control.Message {
+		return control.VersionsArrived{Versions: *theirs, Reply: reply}
+	})
+	if len(newer.Rows) > 0 {
+		i.sendRows(ctx, e.To, newer.Rows)
+	}
+	ours := ask(ctx, i, func(reply func(wire.Versions)) control.Message {
+		return control.VersionsAsked{Buckets: theirs.Buckets, Reply: reply}
+	})
+	rows, err := peer.Call[wire.Rows](ctx, i.d.peers, e.To, peer.KindVersions, &ours)
+	if err == nil && len(rows.Rows) > 0 {
+		i.post(ctx, control.RowsArrived{From: theirs.From, Rows: rows.Rows})
+	}
+}
+
+// ask puts a question to the control goroutine and returns the answer; the zero
+// value if ctx ends first.
+func ask[T any](ctx context.Context, i *incarnation, message func(reply func(T)) control.Message) T {
+	answer := make(chan T, 1)
+	i.post(ctx, message(func(v T) { answer <- v }))
+	select {
+	case v := <-answer:
+		return v
+	case <-ctx.Done():
+	case <-i.ctx.Done():
+	}
+	var zero T
+	return zero
+}
+
+// probe asks the platform for any answer; the store notes when it came.
+func (i *incarnation) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, _ = i.d.store.Get(ctx, "config/current")
+	i.post(ctx, control.Tick{StoreAnswered: i.d.store.Answered(), Wall: time.Now()})
+}
+
+// drain waits until nothing runs here, while nothing more is admitted.
+func (i *incarnation) drain(ctx context.Context) {
+	i.d.gate.Pause()
+	for i.d.gate.Stats().InFlight > 0 {
+		if platform.Sleep(ctx, drainPoll) != nil {
+			return
+		}
+	}
+	i.post(ctx, control.Drained{})
+}
--- /dev/null
+++ b/daemon/incarnation.go
@@ -0,0 +1,247 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmarrun/control"
+	"fulmarrun/outcome"
+	"fulmarrun/owner"
+	"fulmarrun/platform"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// inboxSize bounds the messages that wait for the control goroutine.
+	inboxSize     = 8192
+	drainPoll     = 5 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	// listPage is how many rows are read from the platform at once.
+	listPage = 500
+)
+
+// incarnation is one generation of a daemon: the shell around a control.Core.
+type incarnation struct {
+	d      *Daemon
+	self   wire.Member
+	core   *control.Core
+	inbox  chan control.Message
+	ledger *outcome.Ledger
+	staged *staged
+	held   holdings
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	snapshot *routes.Snapshot
+	leased   bool
+	closed   bool
+	left     bool
+}
+
+func newGeneration() wire.Generation {
+	var b [8]byte
+	for {
+		// crypto/rand.Read never fails.
+		_, _ = rand.Read(b[:])
+		if g := binary.BigEndian.Uint64(b[:]); g != 0 {
+			return wire.Generation(g)
+		}
+	}
+}
+
+func newName() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+func newIncarnation(d *Daemon) *incarnation {
+	s := d.settings
+	self := wire.Member{
+		Instance: s.Instance, Generation: newGeneration(), Service: s.Service,
+		Region: s.Region, Domain: s.Domain, Peer: s.Peer, Caller: s.Caller,
+	}
+	i := &incarnation{
+		d: d, self: self,
+		core:   control.NewCore(self, control.WithNames(newName)),
+		inbox:  make(chan control.Message, inboxSize),
+		ledger: outcome.NewLedger(),
+		staged: newStaged(),
+		held:   make(holdings),
+	}
+	return i
+}
+
+// run joins and serves until the generation ends; left is true if that was a
+// planned leave that is done.
+func (i *incarnation) run(ctx context.Context) (left bool, err error) {
+	i.ctx, i.cancel = context.WithCancel(ctx)
+	defer i.end()
+	i.d.server.SetLedger(i.ledger)
+	i.publish()
+	i.spawn(func(ctx context.Context) { i.load(ctx) })
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	overdue := newTimer()
+	for !i.closed && !i.left {
+		select {
+		case <-ctx.Done():
+			return false, nil
+		case <-ticker.C:
+			i.step(control.Tick{StoreAnswered: i.d.store.Answered(), Wall: time.Now()})
+		case m := <-i.inbox:
+			i.step(m)
+		case reason := <-i.d.leave:
+			i.d.log.Info("leaving", "instance", i.self.Instance, "reason", reason)
+			overdue = time.After(i.d.settings.Drain)
+			i.step(control.LeaveAsked{Reason: reason})
+		case <-overdue:
+			i.d.log.Warn("leave not finished in time", "instance", i.self.Instance, "drain", i.d.settings.Drain)
+			i.left = true
+		}
+	}
+	return i.left, nil
+}
+
+func newTimer() <-chan time.Time { return nil }
+
+// end stops everything that ran for this generation.
+func (i *incarnation) end() {
+	i.d.server.SetLease(time.Time{})
+	i.d.server.Lapse()
+	i.cancel()
+	i.wg.Wait()
+}
+
+// spawn runs f in a goroutine that ends with the incarnation.
+func (i *incarnation) spawn(f func(ctx context.Context)) {
+	i.wg.Add(1)
+	go func() {
+		defer i.wg.Done()
+		f(i.ctx)
+	}()
+}
+
+// post gives a message to the control goroutine, waiting for room.
+func (i *incarnation) post(ctx context.Context, m control.Message) {
+	select {
+	case i.inbox <- m:
+	case <-ctx.Done():
+	case <-i.ctx.Done():
+	}
+}
+
+// offer gives a message to the control goroutine unless its inbox is full.
+func (i *incarnation) offer(m control.Message) {
+	select {
+	case i.inbox <- m:
+	default:
+		i.d.counters.dropped.Inc(1)
+	}
+}
+
+// step feeds one message to the core and carries out what it asks for.
+func (i *incarnation) step(m control.Message) {
+	now := time.Now()
+	if loaded, ok := m.(configMessage); ok {
+		i.configure(loaded)
+		m = loaded.ConfigLoaded
+	}
+	effects := i.core.Step(now, m)
+	for _, e := range effects {
+		i.carryOut(e)
+	}
+	i.publish()
+	for _, e := range effects {
+		if end, ok := e.(control.MoveEnd); ok {
+			i.endMove(end)
+		}
+	}
+	i.watchLease()
+}
+
+// publish makes the routes and the lease visible to traffic. Slots that are new
+// here are opened before, and slots that are gone are dropped after.
+func (i *incarnation) publish() {
+	i.d.server.SetLease(i.core.LeaseUntil())
+	snapshot := i.core.Snapshot()
+	standing := i.d.server.Standing()
+	table := i.d.table.Load()
+	if snapshot == i.snapshot && standing.Table == table && standing.Generation == i.self.Generation &&
+		standing.Closing == i.left {
+		return
+	}
+	gained, lost := i.held.update(snapshot, i.self)
+	i.open(gained)
+	i.d.server.Publish(&owner.Standing{
+		Generation: i.self.Generation, Service: i.self.Service, Instance: i.self.Instance,
+		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left,
+	})
+	i.drop(lost)
+	if len(gained)+len(lost) > 0 {
+		i.d.setGrants(i.self.Generation, i.held)
+		i.d.log.Info("slots changed", "instance", i.self.Instance, "gained", len(gained), "lost", len(lost), "owned", len(i.held))
+	}
+	i.snapshot = snapshot
+}
+
+// watchLease cancels what runs when the lease has ended.
+func (i *incarnation) watchLease() {
+	leased := i.d.server.Leased()
+	if i.leased && !leased {
+		i.d.server.Lapse()
+		i.d.log.Warn("lease lost", "instance", i.self.Instance, "generation", i.self.Generation)
+	}
+	if !i.leased && leased {
+		i.d.log.Info("lease held", "instance", i.self.Instance, "generation", i.self.Generation)
+	}
+	i.leased = leased
+}
+
+// load reads all rows from the platform, however long it takes to answer.
+func (i *incarnation) load(ctx context.Context) {
+	backoff := platform.NewBackoff()
+	for {
+		rows, err := i.list(ctx)
+		if err == nil {
+			i.post(ctx, control.Loaded{Rows: rows})
+			return
+		}
+		i.d.log.Warn("platform not read", "instance", i.self.Instance, "err", err)
+		if backoff.Wait(ctx) != nil {
+			return
+		}
+	}
+}
+
+func (i *incarnation) list(ctx context.Context) ([]wire.Row, error) {
+	var out []wire.Row
+	for _, prefix := range []string{routes.MemberPrefix, routes.SlotsPrefix, routes.ConfigKey} {
+		after := ""
+		for {
+			page, err := i.d.store.List(ctx, prefix, after, listPage)
+			if err != nil {
+				return nil, fmt.Errorf("list %s: %w", prefix, err)
+			}
+			for _, r := range page {
+				out = append(out, wire.Row{Key: r.Key, Version: r.Version, Value: r.Value})
+				after = r.Key
+			}
+			if len(page) < listPage {
+				break
+			}
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/audit"
+	"fulmarrun/config"
+	"fulmarrun/control"
+	"fulmarrun/operator"
+	"fulmarrun/peer"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// statusTimeout bounds the wait for one daemon's status.
+	statusTimeout = time.Second
+	// statusParallel bounds the daemons that are asked at the same time.
+	statusParallel = 64
+)
+
+// operatorServer answers the operators' command line and the supervisor.
+func (d *Daemon) operatorServer() *http.Server {
+	s := operator.NewServer(operator.WithRegistry(d.registry))
+	s.Apply = d.apply
+	s.Show = d.show
+	s.Status = d.statuses
+	s.Audit = d.audits
+	s.Key = d.key
+	s.Leave = func(context.Context) error {
+		d.Leave("asked by an operator")
+		return nil
+	}
+	s.Ready = d.ready
+	return &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+}
+
+// ready tells whether the daemon should be sent callers.
+func (d *Daemon) ready() error {
+	standing := d.server.Standing()
+	switch {
+	case standing.Table == nil:
+		return errors.New("no configuration in force")
+	case standing.Closing:
+		return errors.New("leaving")
+	default:
+		return nil
+	}
+}
+
+func (d *Daemon) apply(ctx context.Context, req operator.ApplyRequest) (operator.ApplyReply, error) {
+	file, err := config.Parse("file", req.Text)
+	if err != nil {
+		return operator.ApplyReply{}, invalid(err)
+	}
+	if err := d.compatible(file); err != nil {
+		return operator.ApplyReply{}, err
+	}
+	reply, err := d.applier.Apply(ctx, req, config.Split(req.Text))
+	if err != nil {
+		return reply, fmt.Errorf("apply: %w", err)
+	}
+	if i := d.current.Load(); i != nil {
+		i.spawn(i.refresh)
+	}
+	return reply, nil
+}
+
+// compatible refuses a change of what must not change once a service has run.
+func (d *Daemon) compatible(file *config.File) error {
+	snapshot := d.server.Standing().Snapshot
+	for _, s := range file.Services {
+		count := int(snapshot.Count(s.Name))
+		if count == 0 || count == s.Slots {
+			continue
+		}
+		return &operator.InvalidError{Problems: []operator.Problem{{
+			File: "file", Line: 1, Column: 1,
+			Want: fmt.Sprintf("slots %d for service %s, which must not change", count, s.Name),
+			Got:  fmt.Sprint(s.Slots),
+		}}}
+	}
+	return nil
+}
+
+func invalid(err error) error {
+	var bad *config.InvalidError
+	if !errors.As(err, &bad) {
+		return err
+	}
+	out := &operator.InvalidError{}
+	for _, p := range bad.Problems {
+		out.Problems = append(out.Problems, operator.Problem{
+			File: p.File, Line: p.Line, Column: p.Column, Want: p.Want, Got: p.Got,
+		})
+	}
+	return out
+}
+
+// refresh reads the configuration row, so that an accepted file spreads from
+// here.
+func (i *incarnation) refresh(ctx context.Context) {
+	row, err := i.d.store.Get(ctx, routes.ConfigKey)
+	if err != nil {
+		return
+	}
+	i.post(ctx, control.RowsArrived{Rows: []wire.Row{{Key: row.Key, Version: row.Version, Value: row.Value}}})
+}
+
+func (d *Daemon) show(context.Context) (operator.ShowReply, error) {
+	current, text := d.configs.shown()
+	return operator.ShowReply{
+		Number: current.Number, Digest: current.Digest, Author: current.Author, At: current.At, Text: text,
+	}, nil
+}
+
+// status is what this daemon says about itself.
+func (d *Daemon) status() wire.Status {
+	standing := d.server.Standing()
+	stats := d.gate.Stats()
+	out := wire.Status{
+		Instance: d.settings.Instance, Generation: standing.Generation, Service: d.settings.Service,
+		Domain: d.settings.Domain, Lease: max(0, time.Until(d.server.LeaseUntil())),
+		InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit,
+	}
+	if standing.Table != nil {
+		out.Config = standing.Table.Number()
+	}
+	if standing.Snapshot == nil {
+		return out
+	}
+	if self := standing.Snapshot.Owner(standing.Generation); self != nil {
+		out.State = self.State
+	}
+	for h := range standing.Snapshot.Holdings(d.settings.Service) {
+		if h.Owner != nil && h.Owner.Generation == standing.Generation {
+			out.Slots++
+		}
+	}
+	return out
+}
+
+// statuses asks every daemon for its status.
+func (d *Daemon) statuses(ctx context.Context) (operator.StatusReply, error) {
+	var (
+		mu        sync.Mutex
+		wg        sync.WaitGroup
+		instances []operator.Instance
+		silent    []string
+	)
+	slots := make(chan struct{}, statusParallel)
+	current, _ := d.configs.shown()
+	for _, o := range d.server.Standing().Snapshot.All() {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			status, err := d.statusOf(ctx, o)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || status.Generation != o.Generation {
+				silent = append(silent, o.Instance)
+				return
+			}
+			instances = append(instances, operator.NewInstance(*status))
+		}()
+	}
+	wg.Wait()
+	return operator.NewStatusReply(current.Number, instances, silent), nil
+}
+
+func (d *Daemon) statusOf(ctx context.Context, o *routes.Owner) (*wire.Status, error) {
+	if o.Generation == d.server.Standing().Generation {
+		status := d.status()
+		return &status, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := peer.Call[wire.Status](ctx, d.peers, o.Peer, peer.KindStatus, &wire.Query{From: o.Generation})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", o.Instance, err)
+	}
+	return status, nil
+}
+
+func (d *Daemon) audits(ctx context.Context, req operator.AuditRequest) (operator.AuditReply, error) {
+	list := func() ([]audit.Entry, error) { return audit.List(ctx, d.store, req.Since, req.Limit) }
+	if req.Since.IsZero() {
+		list = func() ([]audit.Entry, error) { return audit.Newest(ctx, d.store, time.Now(), req.Limit) }
+	}
+	entries, err := list()
+	if err != nil {
+		return operator.AuditReply{}, fmt.Errorf("read audit trail: %w", err)
+	}
+	return operator.AuditReply{Entries: entries}, nil
+}
+
+func (d *Daemon) key(_ context.Context, req operator.KeyRequest) (operator.KeyReply, error) {
+	snapshot := d.server.Standing().Snapshot
+	route, ok := snapshot.Lookup(req.Service, req.Key)
+	if !ok {
+		return operator.KeyReply{}, operator.ErrMissing
+	}
+	out := operator.KeyReply{
+		Service: req.Service, Key: req.Key, Slot: route.Slot, Hot: route.Hot, Epoch: route.Epoch,
+	}
+	if route.Owner != nil {
+		out.Instance, out.Generation, out.Domain = route.Owner.Instance, route.Owner.Generation, route.Owner.Domain
+	}
+	return out, nil
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/control"
+	"fulmarrun/peer"
+	"fulmarrun/wire"
+)
+
+// errNotReady is returned to a peer before the first generation is there.
+var errNotReady = errors.New("not ready")
+
+// peerServer answers the other daemons.
+func (d *Daemon) peerServer() *peer.Server {
+	s := peer.NewServer(peer.WithMaxFrame(int(d.settings.Body) + frameSlack))
+	peer.Handle(s, peer.KindRequest, func(ctx context.Context, q *wire.Request) (*wire.Response, error) {
+		return d.server.Serve(ctx, q), nil
+	})
+	peer.Handle(s, peer.KindRows, func(ctx context.Context, q *wire.Rows) (*wire.Ack, error) {
+		i := d.current.Load()
+		if i == nil {
+			return nil, errNotReady
+		}
+		i.post(ctx, control.RowsArrived{From: q.From, Rows: q.Rows})
+		return &wire.Ack{OK: true}, nil
+	})
+	peer.Handle(s, peer.KindVote, func(ctx context.Context, q *wire.Vote) (*wire.Verdict, error) {
+		return answer(ctx, d, func(reply func(wire.Verdict)) control.Message {
+			return control.VoteArrived{Vote: *q, Reply: reply}
+		})
+	})
+	peer.Handle(s, peer.KindSummary, func(ctx context.Context, q *wire.Summary) (*wire.Versions, error) {
+		return answer(ctx, d, func(reply func(wire.Versions)) control.Message {
+			return control.SummaryArrived{Summary: *q, Reply: reply}
+		})
+	})
+	peer.Handle(s, peer.KindVersions, func(ctx context.Context, q *wire.Versions) (*wire.Rows, error) {
+		return answer(ctx, d, func(reply func(wire.Rows)) control.Message {
+			return control.VersionsArrived{Versions: *q, Reply: reply}
+		})
+	})
+	peer.Handle(s, peer.KindFetch, func(_ context.Context, q *wire.Fetch) (*wire.Object, error) {
+		return &wire.Object{Data: d.configs.section(q.Digest)}, nil
+	})
+	peer.Handle(s, peer.KindMemory, func(_ context.Context, q *wire.Memory) (*wire.Ack, error) {
+		i := d.current.Load()
+		if i == nil {
+			return nil, errNotReady
+		}
+		i.staged.add(q)
+		return &wire.Ack{OK: true}, nil
+	})
+	peer.Handle(s, peer.KindStatus, func(context.Context, *wire.Query) (*wire.Status, error) {
+		status := d.status()
+		return &status, nil
+	})
+	return s
+}
+
+// frameSlack is the room in a frame for all but a request's body.
+const frameSlack = 4 << 20
+
+// answer has the control goroutine answer a peer.
+func answer[T any](ctx context.Context, d *Daemon, message func(reply func(T)) control.Message) (*T, error) {
+	i := d.current.Load()
+	if i == nil {
+		return nil, errNotReady
+	}
+	out := make(chan T, 1)
+	i.post(ctx, message(func(v T) { out <- v }))
+	select {
+	case v := <-out:
+		return &v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-i.ctx.Done():
+		return nil, errNotReady
+	}
+}
--- /dev/null
+++ b/daemon/targets.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fulmarrun/admission"
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+const (
+	// grantInterval is how often the grant of a target that checks is renewed.
+	grantInterval = 250 * time.Millisecond
+	// announceLife is how long a target counts as there after its last word.
+	announceLife = 5 * time.Second
+)
+
+// targetServer takes the announcements of the target.
+func (d *Daemon) targetServer() *http.Server {
+	server := target.NewServer()
+	server.OnAnnounce = d.announce
+	mux := http.NewServeMux()
+	mux.Handle(target.AnnouncePath, server)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (d *Daemon) announce(a target.Announcement) {
+	now := time.Now()
+	d.targetMu.Lock()
+	before := d.target
+	d.target = announced{Announcement: a, at: now, seen: true}
+	d.grantsFor(d.server.Standing().Generation).Announced(now, a.Stamp)
+	d.targetMu.Unlock()
+	if !before.seen || before.Address != a.Address || before.Checks != a.Checks {
+		d.client.Use(a.Address, a.Checks)
+		d.log.Info("target announced", "instance", d.settings.Instance, "address", a.Address, "checks", a.Checks)
+	}
+	d.gate.Report(admission.Health{
+		Draining: a.State == target.StateLeaving, Unready: a.State == target.StateCold,
+	})
+	if !before.present(now) {
+		d.gate.Resume()
+	}
+	if a.State == target.StateLeaving && before.State != target.StateLeaving {
+		d.Leave("its target leaves")
+	}
+}
+
+// announced is the target's last word.
+type announced struct {
+	target.Announcement
+	at   time.Time
+	seen bool
+}
+
+func (a announced) present(now time.Time) bool {
+	return a.seen && now.Sub(a.at) < announceLife
+}
+
+// grantsFor returns the grants of a generation; targetMu is held.
+func (d *Daemon) grantsFor(g wire.Generation) *target.Grants {
+	if d.grants == nil || d.granted != g {
+		d.grants, d.granted = target.NewGrants(g), g
+		if d.target.seen {
+			d.grants.Announced(d.target.at, d.target.Stamp)
+		}
+	}
+	return d.grants
+}
+
+// setGrants changes what the target is granted and has that pushed at once.
+func (d *Daemon) setGrants(g wire.Generation, held holdings) {
+	slots, hot := held.grants()
+	d.targetMu.Lock()
+	d.grantsFor(g).Set(slots, hot)
+	d.targetMu.Unlock()
+	select {
+	case d.grantNow <- struct{}{}:
+	default:
+	}
+}
+
+// pushGrants renews the grants of a target that checks, until ctx ends.
+func (d *Daemon) pushGrants(ctx context.Context) error {
+	ticker := time.NewTicker(grantInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-d.grantNow:
+		}
+		d.pushGrant(ctx)
+	}
+}
+
+func (d *Daemon) pushGrant(ctx context.Context) {
+	d.targetMu.Lock()
+	checks := d.target.seen && d.target.Checks
+	grants := d.grantsFor(d.server.Standing().Generation)
+	grant, ok := grants.Next(d.server.LeaseUntil())
+	d.targetMu.Unlock()
+	if !checks || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, grantInterval)
+	defer cancel()
+	reply, err := d.client.Push(ctx, grant)
+	if err != nil {
+		return
+	}
+	d.targetMu.Lock()
+	defer d.targetMu.Unlock()
+	grants.Replied(time.Now(), reply)
+}
+
+// watchTarget stops admission while the target has not been heard of.
+func (d *Daemon) watchTarget(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	present := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		d.targetMu.Lock()
+		now := d.target.present(time.Now())
+		d.targetMu.Unlock()
+		if present && !now {
+			d.gate.Pause()
+			d.log.Warn("target not heard of", "instance", d.settings.Instance)
+		}
+		present = now
+		d.server.Expire()
+	}
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/admission"
+	"fulmarrun/config"
+	"fulmarrun/owner"
+	"fulmarrun/peer"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// ReasonOwner says that nobody owned the key for as long as the caller could
+	// wait.
+	ReasonOwner = "owner"
+	// ReasonUnreachable says that the owner could not be reached.
+	ReasonUnreachable = "unreachable"
+	// ReasonTimeout says that the wait of the kind ran out.
+	ReasonTimeout = "timeout"
+	// ReasonCancelled says that the caller has gone.
+	ReasonCancelled = "cancelled"
+	// ReasonLost says that the connection to the owner broke while it had the
+	// request.
+	ReasonLost = "lost"
+
+	// ownerRetry is when to come back for a key whose owner was lost.
+	ownerRetry = time.Second
+	// ownerPatience bounds how long a request waits for a key to be owned: a
+	// take-over is over by then, or does not come as long as the platform is
+	// down.
+	ownerPatience = 3 * time.Second
+	// pause spares an owner that has just refused a connection or disowned a
+	// key, unless the routes change sooner.
+	pause = 50 * time.Millisecond
+)
+
+// Option configures a Forwarder.
+type Option func(*Forwarder)
+
+// WithAdmission is a functional option that passes options to the retry budget,
+// the hedges and the pools.
+func WithAdmission(opts ...admission.Option) Option {
+	return func(f *Forwarder) { f.options = opts }
+}
+
+// Forwarder routes requests. It is safe for concurrent use.
+type Forwarder struct {
+	own     *owner.Server
+	call    func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error)
+	options []admission.Option
+
+	mu     sync.Mutex
+	budget admission.Budget
+	pools  map[string]*pool
+}
+
+// NewForwarder returns a forwarder that serves at own what own may serve and
+// calls the other daemons through peers.
+func NewForwarder(own *owner.Server, peers *peer.Client, opts ...Option) *Forwarder {
+	f := &Forwarder{
+		own: own, pools: make(map[string]*pool),
+	}
+	f.call = func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
+		return peer.Call[wire.Response](ctx, peers, to.Peer, peer.KindRequest, req)
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	f.budget = admission.NewBudget(f.options...)
+	return f
+}
+
+// Route brings req, of the given kind, to where it may run, and returns the
+// final answer.
+func (f *Forwarder) Route(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	f.deposit()
+	if kind.Keyed() {
+		return f.routeKeyed(ctx, kind, req)
+	}
+	return f.routeUnkeyed(ctx, kind, req)
+}
+
+func (f *Forwarder) deposit() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.First(time.Now())
+}
+
+// mayRetry spends from the retry budget.
+func (f *Forwarder) mayRetry() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Retry(time.Now())
+}
+
+// send hands the request to one daemon with what is left of its wait.
+func (f *Forwarder) send(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
+	try := *req
+	if deadline, ok := ctx.Deadline(); ok {
+		try.Wait = time.Until(deadline)
+	}
+	if to.Generation == f.own.Standing().Generation {
+		return f.own.Serve(ctx, &try), nil
+	}
+	return f.call(ctx, to, &try)
+}
+
+// ended returns the final answer to a request whose time is over, or whose
+// caller has gone.
+func ended(ctx context.Context, begun bool) *wire.Response {
+	reason := ReasonTimeout
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = ReasonCancelled
+	}
+	if begun {
+		return wire.Unsure(reason)
+	}
+	return wire.Refuse(reason, ownerRetry)
+}
+
+// rest waits until the routes change, the pause is over or ctx ends.
+func rest(ctx context.Context, s *routes.Snapshot, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.Changed():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/forward/keyed.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/config"
+	"fulmarrun/peer"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// keyed is one keyed request on its way.
+type keyed struct {
+	f    *Forwarder
+	kind *config.Kind
+	req  *wire.Request
+	// begun is true once a try may have reached a target.
+	begun bool
+	// ownerless is since when nobody has owned the key.
+	ownerless time.Time
+}
+
+// routeKeyed brings a request to the owner of its key, whoever that is by the
+// time.
+func (f *Forwarder) routeKeyed(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
+	k := &keyed{f: f, kind: kind, req: req}
+	for {
+		if ctx.Err() != nil {
+			return ended(ctx, k.begun)
+		}
+		snapshot := f.own.Standing().Snapshot
+		route, _ := snapshot.Lookup(req.Service, req.Key)
+		if route.Owner == nil {
+			if response := k.waitForOwner(ctx, snapshot); response != nil {
+				return response
+			}
+			continue
+		}
+		k.ownerless = time.Time{}
+		if response := k.try(ctx, snapshot, route); response != nil {
+			return response
+		}
+	}
+}
+
+// waitForOwner waits for a change of the routes, and returns the refusal if that
+// has taken too long.
+func (k *keyed) waitForOwner(ctx context.Context, snapshot *routes.Snapshot) *wire.Response {
+	now := time.Now()
+	if k.ownerless.IsZero() {
+		k.ownerless = now
+	}
+	left := ownerPatience - now.Sub(k.ownerless)
+	if left <= 0 {
+		if k.begun {
+			return wire.Unsure(ReasonOwner)
+		}
+		return wire.Refuse(ReasonOwner, ownerRetry)
+	}
+	rest(ctx, snapshot, left)
+	return nil
+}
+
+// try sends the request to the owner once. It returns nil if it is to be routed
+// again.
+func (k *keyed) try(ctx context.Context, snapshot *routes.Snapshot, route routes.Route) *wire.Response {
+	response, err := k.sendWatching(ctx, route)
+	switch {
+	case err == nil && !response.Moved:
+		return k.final(response)
+	case err == nil:
+		rest(ctx, snapshot, pause)
+		return nil
+	case errors.Is(err, peer.ErrNotSent):
+		rest(ctx, snapshot, pause)
+		return nil
+	}
+	k.begun = true
+	k.req.Fresh = false
+	if ctx.Err() != nil {
+		return ended(ctx, true)
+	}
+	// A request that may not be repeated is known to the owner by its ID, also
+	// to the next owner, so that asking again runs nothing twice.
+	if k.kind.Repeatable() && !k.f.mayRetry() {
+		return wire.Unsure(ReasonLost)
+	}
+	if !errors.Is(err, errRerouted) {
+		rest(ctx, snapshot, pause)
+	}
+	return nil
+}
+
+// final keeps a refusal truthful: after a try that may have run, a refusal of a
+// later one says nothing about the first.
+func (k *keyed) final(r *wire.Response) *wire.Response {
+	if r.Outcome == wire.OutcomeNotRun && k.begun {
+		r.Outcome = wire.OutcomeUnknown
+	}
+	return r
+}
+
+var errRerouted = errors.New("the key has a new owner")
+
+// sendWatching sends the request to the owner, and gives that up as soon as the
+// key has another owner: the first has then lost its lease.
+func (k *keyed) sendWatching(ctx context.Context, route routes.Route) (*wire.Response, error) {
+	if route.Owner.Generation == k.f.own.Standing().Generation {
+		return k.f.send(ctx, route.Owner, k.req)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	go k.watch(route, stop, cancel)
+	return k.f.send(ctx, route.Owner, k.req)
+}
+
+func (k *keyed) watch(route routes.Route, stop <-chan struct{}, cancel context.CancelCauseFunc) {
+	for {
+		snapshot := k.f.own.Standing().Snapshot
+		now, ok := snapshot.Lookup(k.req.Service, k.req.Key)
+		closed := snapshot.Owner(route.Owner.Generation) == nil
+		if closed || ok && now.Owner != nil && now.Owner.Generation != route.Owner.Generation && now.Epoch > route.Epoch {
+			cancel(errRerouted)
+			return
+		}
+		select {
+		case <-snapshot.Changed():
+		case <-stop:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/forward/pool.go
@@ -0,0 +1,208 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/admission"
+	"fulmarrun/config"
+	"fulmarrun/owner"
+	"fulmarrun/peer"
+	"fulmarrun/routes"
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+// pool chooses among the members that may serve one kind of an unkeyed service.
+type pool struct {
+	mu       sync.Mutex
+	choice   *admission.Pool
+	hedge    *admission.Hedge
+	snapshot *routes.Snapshot
+	table    *config.Table
+}
+
+func (f *Forwarder) pool(kind *config.Kind, service string) *pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := service + "/" + kind.Name
+	p := f.pools[name]
+	if p == nil {
+		p = &pool{choice: admission.NewPool(f.options...), hedge: admission.NewHedge(f.options...)}
+		f.pools[name] = p
+	}
+	return p
+}
+
+// pick chooses a member apart from those already tried.
+func (p *pool) pick(s *owner.Standing, kind *config.Kind, service string, tried []wire.Generation) *routes.Owner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.snapshot != s.Snapshot || p.table != s.Table {
+		p.choice.Set(serving(s, kind, service), now)
+		p.snapshot, p.table = s.Snapshot, s.Table
+	}
+	g, ok := p.choice.Pick(now, tried...)
+	if !ok {
+		return nil
+	}
+	return s.Snapshot.Owner(g)
+}
+
+// serving returns the members that may be given new work of a kind.
+func serving(s *owner.Standing, kind *config.Kind, service string) []wire.Generation {
+	var out []wire.Generation
+	for _, m := range s.Snapshot.Members(service) {
+		if m.State == wire.StateActive && kind.Serves(m.Domain, m.Instance) && !s.Table.Out(m.Domain) {
+			out = append(out, m.Generation)
+		}
+	}
+	return out
+}
+
+func (p *pool) start(g wire.Generation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.choice.Start(g, time.Now())
+}
+
+func (p *pool) done(g wire.Generation, took time.Duration, response *wire.Response, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	done := admission.Completion{Latency: took, Result: admission.OK}
+	switch {
+	case errors.Is(err, context.Canceled), err == nil && response.Reason == target.ReasonCancel:
+		done.Result = admission.Cancelled
+	case err != nil || response.Outcome == wire.OutcomeUnknown:
+		done.Result = admission.Failed
+	case response.Outcome == wire.OutcomeNotRun:
+		done.Result = admission.Shed
+	default:
+		p.hedge.Record(took)
+	}
+	p.choice.Done(g, done, time.Now())
+}
+
+func (p *pool) hedgeAfter(kind *config.Kind) (time.Duration, bool) {
+	if !kind.Hedgeable() {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hedge.After(kind.Repeat.Price)
+}
+
+// attempt is the end of one try.
+type attempt struct {
+	response *wire.Response
+	err      error
+}
+
+// unkeyed is one request of an unkeyed kind on its way.
+type unkeyed struct {
+	f       *Forwarder
+	pool    *pool
+	kind    *config.Kind
+	req     *wire.Request
+	tried   []wire.Generation
+	running int
+	// begun is true once a try may have reached a target.
+	begun   bool
+	refused *wire.Response
+	ends    chan attempt
+}
+
+// maxTries bounds the tries of one request.
+const maxTries = 4
+
+// routeUnkeyed brings a request to one of the members, and to another if that
+// one refuses, fails or is slow and the price of repeating allows.
+func (f *Forwarder) routeUnkeyed(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	u := &unkeyed{
+		f: f, pool: f.pool(kind, req.Service), kind: kind, req: req,
+		ends: make(chan attempt, maxTries),
+	}
+	if !u.start(ctx) {
+		return wire.Refuse(ReasonUnreachable, ownerRetry)
+	}
+	var hedge <-chan time.Time
+	if after, ok := u.pool.hedgeAfter(kind); ok {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ended(ctx, true)
+		case <-hedge:
+			hedge = nil
+			if f.mayRetry() {
+				u.start(ctx)
+			}
+		case end := <-u.ends:
+			u.running--
+			if response := u.next(ctx, end); response != nil {
+				return response
+			}
+		}
+	}
+}
+
+// start sends the request to one more member, if there is one.
+func (u *unkeyed) start(ctx context.Context) bool {
+	if len(u.tried) >= maxTries {
+		return false
+	}
+	to := u.pool.pick(u.f.own.Standing(), u.kind, u.req.Service, u.tried)
+	if to == nil {
+		return false
+	}
+	u.tried = append(u.tried, to.Generation)
+	u.running++
+	u.pool.start(to.Generation)
+	go func() {
+		began := time.Now()
+		response, err := u.f.send(ctx, to, u.req)
+		u.pool.done(to.Generation, time.Since(began), response, err)
+		u.ends <- attempt{response: response, err: err}
+	}()
+	return true
+}
+
+// next returns the final answer, or nil if another try is on its way.
+func (u *unkeyed) next(ctx context.Context, end attempt) *wire.Response {
+	if end.err == nil && end.response.Outcome == wire.OutcomeAnswered {
+		return end.response
+	}
+	retry, free := true, false
+	switch {
+	case errors.Is(end.err, peer.ErrNotSent):
+		free = true
+	case end.err == nil && end.response.Outcome == wire.OutcomeNotRun:
+		u.refused = end.response
+	default:
+		u.begun = true
+		retry = u.kind.Repeatable()
+	}
+	if u.running > 0 {
+		return nil
+	}
+	if retry && ctx.Err() == nil && (free || u.f.mayRetry()) && u.start(ctx) {
+		return nil
+	}
+	switch {
+	case u.begun:
+		return wire.Unsure(ReasonLost)
+	case u.refused != nil:
+		return u.refused
+	default:
+		return wire.Refuse(ReasonUnreachable, ownerRetry)
+	}
+}
--- /dev/null
+++ b/fulmarrun.go
@@ -0,0 +1,73 @@
+package fulmarrun
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"fulmarrun/config"
+	"fulmarrun/daemon"
+	"fulmarrun/platform"
+)
+
+// Option configures a Router.
+type Option func(*options)
+
+type options struct {
+	store  *platform.Store
+	daemon []daemon.Option
+}
+
+// WithStore is a functional option that sets the platform's table and object
+// store in place of the one that the settings name.
+func WithStore(s *platform.Store) Option {
+	return func(o *options) { o.store = s }
+}
+
+// WithLogger is a functional option that sets where events are logged.
+func WithLogger(l *log.Logger) Option {
+	return func(o *options) { o.daemon = append(o.daemon, daemon.WithLogger(l)) }
+}
+
+// WithRegistry is a functional option that sets the registry of the metrics.
+func WithRegistry(r metrics.Registry) Option {
+	return func(o *options) { o.daemon = append(o.daemon, daemon.WithRegistry(r)) }
+}
+
+// Router is the process beside one target.
+type Router struct {
+	daemon *daemon.Daemon
+}
+
+// New binds the addresses of the settings and returns a router that is ready to
+// run.
+func New(settings config.Settings, opts ...Option) (*Router, error) {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.store == nil {
+		o.store = platform.NewHTTP(settings.Platform)
+	}
+	d, err := daemon.New(settings, o.store, o.daemon...)
+	if err != nil {
+		return nil, fmt.Errorf("new router: %w", err)
+	}
+	return &Router{daemon: d}, nil
+}
+
+// Settings returns the settings with the addresses that are bound.
+func (r *Router) Settings() config.Settings { return r.daemon.Settings() }
+
+// Run serves until ctx ends and the router has left gracefully.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.daemon.Run(ctx); err != nil {
+		return fmt.Errorf("run router: %w", err)
+	}
+	return nil
+}
+
+// Abort ends Run as a crash would, for tests and demonstrations.
+func (r *Router) Abort() { r.daemon.Abort() }
--- /dev/null
+++ b/owner/once.go
@@ -0,0 +1,43 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"fulmarrun/outcome"
+	"fulmarrun/wire"
+)
+
+// runOnce runs a request that may not be repeated, unless its ID has been here
+// before.
+func (s *Server) runOnce(ctx context.Context, j *job) *wire.Response {
+	ledger := s.ledger.Load()
+	decision := ledger.Begin(time.Now(), j.unit, j.req.ID, j.req.Fresh)
+	switch decision.Verdict {
+	case outcome.Run:
+		return s.runRecorded(ctx, j, ledger)
+	case outcome.Join:
+		return ledger.Wait(ctx, j.unit, j.req.ID)
+	case outcome.Frozen:
+		return wire.Misrouted()
+	default:
+		if decision.Response.Reason == outcome.ReasonElsewhere {
+			return wire.Misrouted()
+		}
+		return decision.Response
+	}
+}
+
+// runRecorded runs a request and notes what became of it.
+func (s *Server) runRecorded(ctx context.Context, j *job, ledger *outcome.Ledger) *wire.Response {
+	done := false
+	defer func() {
+		if !done {
+			ledger.Finish(j.unit, j.req.ID, wire.Unsure(outcome.ReasonUnanswered))
+		}
+	}()
+	response := s.run(ctx, j)
+	ledger.Finish(j.unit, j.req.ID, response)
+	done = true
+	return response
+}
--- /dev/null
+++ b/owner/server.go
@@ -0,0 +1,270 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/admission"
+	"fulmarrun/config"
+	"fulmarrun/handover"
+	"fulmarrun/outcome"
+	"fulmarrun/routes"
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+const (
+	// ReasonLease says that the owner holds no lease at the moment.
+	ReasonLease = "lease"
+	// ReasonKind says that this daemon's configuration has no such kind.
+	ReasonKind = "kind"
+	// ReasonTimeout says that the wait of the kind ran out.
+	ReasonTimeout = "timeout"
+	// ReasonMoving says that the key changed hands for as long as the caller
+	// could wait.
+	ReasonMoving = "moving"
+
+	// grantPause is how long a target that rejects a fence is left alone.
+	grantPause = 20 * time.Millisecond
+	// leaseRetry is when to come back to an owner without a lease: a take-over
+	// is over by then.
+	leaseRetry = time.Second
+)
+
+// ErrLease is the error of a dispatch without a lease.
+var ErrLease = errors.New("no lease")
+
+// Server runs requests at the target beside this daemon.
+type Server struct {
+	gate   *admission.Gate
+	client *target.Client
+	units  *handover.Units
+
+	ledger atomic.Pointer[outcome.Ledger]
+
+	standing atomic.Pointer[Standing]
+	lease    *leaseClock
+	running  atomic.Int64
+}
+
+// NewServer returns a server that refuses everything until Publish.
+func NewServer(gate *admission.Gate, units *handover.Units) *Server {
+	s := &Server{gate: gate, units: units, lease: newLeaseClock()}
+	s.standing.Store(&Standing{})
+	return s
+}
+
+// SetClient sets the client of the target; it must be called before Serve.
+func (s *Server) SetClient(c *target.Client) { s.client = c }
+
+// SetLedger sets the memory of request IDs of the present generation.
+func (s *Server) SetLedger(l *outcome.Ledger) { s.ledger.Store(l) }
+
+// Publish makes a new standing visible and wakes those who wait for a change.
+func (s *Server) Publish(next *Standing) {
+	old := s.standing.Swap(next)
+	if old.Snapshot != nil && old.Snapshot != next.Snapshot {
+		old.Snapshot.Retire()
+	}
+}
+
+// Standing returns the standing in force.
+func (s *Server) Standing() *Standing { return s.standing.Load() }
+
+// SetLease sets the end of the lease; the zero time is none.
+func (s *Server) SetLease(until time.Time) { s.lease.set(until) }
+
+// LeaseUntil returns the end of the lease; the zero time if there is none.
+func (s *Server) LeaseUntil() time.Time { return s.lease.end() }
+
+// Expire forgets the request IDs that are older than the retention.
+func (s *Server) Expire() {
+	if l := s.ledger.Load(); l != nil {
+		l.Expire(time.Now())
+	}
+}
+
+// Lapse cancels all keyed requests that run at the target.
+func (s *Server) Lapse() { s.lease.lapse() }
+
+// Leased tells whether the lease holds now.
+func (s *Server) Leased() bool { return s.lease.valid() }
+
+// Running returns how many requests are being served here.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// CheckFence tells whether a request may go to the target right now. It is the
+// check of target.WithCheck.
+func (s *Server) CheckFence(f target.Fence) error {
+	if f.Epoch == 0 {
+		return nil
+	}
+	if f.Generation != s.standing.Load().Generation || !s.lease.valid() {
+		return ErrLease
+	}
+	return nil
+}
+
+// Serve runs a request at the target, within its wait.
+func (s *Server) Serve(ctx context.Context, req *wire.Request) *wire.Response {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	standing := s.standing.Load()
+	if standing.Table == nil {
+		return wire.Refuse(ReasonKind, leaseRetry)
+	}
+	kind, ok := standing.Table.Kind(req.Service, req.Kind)
+	if !ok {
+		return wire.Refuse(ReasonKind, leaseRetry)
+	}
+	if req.Service != standing.Service || !kind.Serves(standing.Domain, standing.Instance) {
+		return wire.Misrouted()
+	}
+	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	defer cancel()
+	if !kind.Keyed() {
+		return s.run(ctx, &job{req: req, kind: kind, lease: context.Background()})
+	}
+	return s.serveKeyed(ctx, req, kind)
+}
+
+// serveKeyed enters the unit of the key, waiting while it changes hands.
+func (s *Server) serveKeyed(ctx context.Context, req *wire.Request, kind *config.Kind) *wire.Response {
+	for {
+		standing := s.standing.Load()
+		route, ok := standing.Snapshot.Lookup(req.Service, req.Key)
+		if !owns(standing, route, ok) {
+			return wire.Misrouted()
+		}
+		if !s.lease.valid() {
+			return wire.Refuse(ReasonLease, leaseRetry)
+		}
+		unit := unitOf(req, route)
+		wait := s.units.Enter(unit)
+		if wait == nil {
+			if s.standing.Load() != standing && !s.stillOwns(req, route) {
+				s.units.Leave(unit)
+				continue
+			}
+			defer s.units.Leave(unit)
+			return s.serveUnit(ctx, req, kind, unit, route)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return wire.Refuse(ReasonMoving, leaseRetry)
+		}
+	}
+}
+
+func owns(standing *Standing, route routes.Route, ok bool) bool {
+	return ok && !standing.Closing && route.Owner != nil && route.Owner.Generation == standing.Generation
+}
+
+func (s *Server) stillOwns(req *wire.Request, before routes.Route) bool {
+	standing := s.standing.Load()
+	route, ok := standing.Snapshot.Lookup(req.Service, req.Key)
+	return owns(standing, route, ok) && route.Epoch == before.Epoch && route.Hot == before.Hot
+}
+
+func unitOf(req *wire.Request, route routes.Route) outcome.Unit {
+	if route.Hot {
+		return outcome.Unit{Service: req.Service, Hot: req.Key}
+	}
+	return outcome.Unit{Service: req.Service, Slot: route.Slot}
+}
+
+// serveUnit runs a keyed request in its unit; one that may not be repeated goes
+// through the memory of request IDs.
+func (s *Server) serveUnit(ctx context.Context, req *wire.Request, kind *config.Kind,
+	unit outcome.Unit, route routes.Route,
+) *wire.Response {
+	j := &job{
+		req: req, kind: kind, unit: unit, lease: s.lease.context.Load().ctx,
+		fence: target.Fence{
+			Service: req.Service, Slot: route.Slot, Epoch: route.Epoch,
+			Generation: route.Owner.Generation,
+		},
+	}
+	if kind.Repeatable() {
+		return s.run(ctx, j)
+	}
+	return s.runOnce(ctx, j)
+}
+
+// job is one request that may run here.
+type job struct {
+	req   *wire.Request
+	kind  *config.Kind
+	unit  outcome.Unit
+	fence target.Fence
+	// lease ends when the lease that the request is admitted under has lapsed.
+	lease context.Context
+}
+
+// run passes admission and hands the request to the target.
+func (s *Server) run(ctx context.Context, j *job) *wire.Response {
+	deadline, _ := ctx.Deadline()
+	permit, err := s.gate.Enter(ctx, admission.Ticket{
+		Class: admission.Class(j.kind.Class), Deadline: deadline, Depth: j.req.Depth,
+	})
+	if err != nil {
+		return refusal(err)
+	}
+	run, cancel := context.WithDeadline(runContext(ctx, j.kind), deadline)
+	defer cancel()
+	defer context.AfterFunc(j.lease, cancel)()
+	start := time.Now()
+	response, err := s.dispatch(run, j)
+	permit.Done(admission.Completion{Latency: time.Since(start), Result: result(response, err)})
+	return response
+}
+
+// dispatch hands the request to the target. A target that has not been granted
+// the slot yet rejects it, and is asked again while time allows.
+func (s *Server) dispatch(ctx context.Context, j *job) (*wire.Response, error) {
+	for {
+		response, err := s.client.Do(ctx, j.req, j.fence)
+		if response.Outcome != wire.OutcomeNotRun || response.Reason != target.ReasonFence || !s.lease.valid() {
+			return response, err
+		}
+		select {
+		case <-time.After(grantPause):
+		case <-ctx.Done():
+			return response, err
+		}
+	}
+}
+
+// runContext lets a request that may not be repeated run on when its caller has
+// gone: the answer is kept for when the caller asks again.
+func runContext(ctx context.Context, kind *config.Kind) context.Context {
+	if kind.Repeatable() {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+func result(r *wire.Response, err error) admission.Result {
+	switch {
+	case r.Reason == target.ReasonShed:
+		return admission.Shed
+	case r.Reason == target.ReasonCancel:
+		return admission.Cancelled
+	case err != nil:
+		return admission.Failed
+	default:
+		return admission.OK
+	}
+}
+
+func refusal(err error) *wire.Response {
+	var r *admission.Refusal
+	if errors.As(err, &r) {
+		return wire.Refuse(r.Reason, r.RetryAfter)
+	}
+	return wire.Refuse(ReasonTimeout, leaseRetry)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"fulmarrun/wire"
+)
+
+// DefaultMaxCalls is how many calls one connection may have running.
+const DefaultMaxCalls = 4096
+
+// Option configures a Server or a Client.
+type Option func(*options)
+
+type options struct {
+	maxFrame int
+	maxCalls int
+}
+
+func newOptions(opts []Option) options {
+	o := options{maxFrame: DefaultMaxFrame, maxCalls: DefaultMaxCalls}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// WithMaxFrame is a functional option that sets the longest frame accepted, in
+// bytes.
+func WithMaxFrame(bytes int) Option {
+	return func(o *options) { o.maxFrame = bytes }
+}
+
+// WithMaxCalls is a functional option that sets how many calls one connection
+// may have running at a server.
+func WithMaxCalls(n int) Option {
+	return func(o *options) { o.maxCalls = n }
+}
+
+type handler func(ctx context.Context, body []byte) (func(context.Context) (msgp.Marshaler, error), error)
+
+// ServerStats counts what a Server has met.
+type ServerStats struct {
+	// Malformed counts connections that ended for a bad frame.
+	Malformed uint64
+	// Open is the number of connections now.
+	Open int
+}
+
+// Server answers the calls of other daemons.
+type Server struct {
+	opts      options
+	handlers  [256]handler
+	malformed atomic.Uint64
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer returns a server without handlers.
+func NewServer(opts ...Option) *Server {
+	return &Server{opts: newOptions(opts), conns: make(map[net.Conn]struct{})}
+}
+
+// Handle registers fn for frames of the given kind. It must not be called after
+// Serve. The message is fn's to keep.
+func Handle[Q, R any, PQ interface {
+	*Q
+	wire.Message
+}, PR interface {
+	*R
+	wire.Message
+}](s *Server, kind Kind, fn func(ctx context.Context, q PQ) (PR, error),
+) {
+	s.handlers[kind] = func(_ context.Context, body []byte) (func(context.Context) (msgp.Marshaler, error), error) {
+		q := PQ(new(Q))
+		if err := wire.Decode(body, q); err != nil {
+			return nil, fmt.Errorf("kind %d: %w", kind, err)
+		}
+		return func(ctx context.Context) (msgp.Marshaler, error) { return fn(ctx, q) }, nil
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+// Close ends all connections and waits for the handlers. The listener is the
+// caller's to close first.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// Stats returns what the server has met so far.
+func (s *Server) Stats() ServerStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ServerStats{Malformed: s.malformed.Load(), Open: len(s.conns)}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	_ = conn.Close()
+	s.wg.Done()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.untrack(conn)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &serverConn{
+		server:  s,
+		writer:  newFrameWriter(conn),
+		running: make(map[uint64]context.CancelFunc),
+		slots:   make(chan struct{}, s.opts.maxCalls),
+	}
+	defer c.wg.Wait()
+	defer cancel()
+	reader := NewFrameReader(conn, s.opts.maxFrame)
+	for {
+		frame, err := reader.Next()
+		if err == nil {
+			err = c.accept(ctx, frame)
+		}
+		if err != nil {
+			if isMalformed(err) {
+				s.malformed.Add(1)
+			}
+			return
+		}
+	}
+}
+
+func isMalformed(err error) bool {
+	var netErr net.Error
+	if errors.As(err, &netErr) {
+		return false
+	}
+	return errors.Is(err, ErrFrameTooLong) || errors.Is(err, ErrFrameTooShort) || errors.Is(err, errBadFrame)
+}
+
+var errBadFrame = errors.New("bad frame")
+
+type serverConn struct {
+	server *Server
+	writer *frameWriter
+	slots  chan struct{}
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	running map[uint64]context.CancelFunc
+}
+
+func (c *serverConn) accept(ctx context.Context, frame Frame) error {
+	if frame.Kind == KindCancel {
+		c.cancel(frame.ID)
+		return nil
+	}
+	h := c.server.handlers[frame.Kind]
+	if h == nil {
+		return fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
+	}
+	call, err := h(ctx, frame.Body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBadFrame, err)
+	}
+	c.slots <- struct{}{}
+	callCtx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	c.running[frame.ID] = cancel
+	c.mu.Unlock()
+	c.wg.Add(1)
+	go c.run(callCtx, cancel, frame.Kind, frame.ID, call)
+	return nil
+}
+
+func (c *serverConn) run(ctx context.Context, cancel context.CancelFunc, kind Kind, id uint64,
+	call func(context.Context) (msgp.Marshaler, error),
+) {
+	defer c.wg.Done()
+	reply, err := call(ctx)
+	cancel()
+	c.mu.Lock()
+	delete(c.running, id)
+	c.mu.Unlock()
+	if err == nil {
+		_ = c.writer.write(kind|replyBit, id, reply)
+	}
+	<-c.slots
+}
+
+func (c *serverConn) cancel(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cancel, ok := c.running[id]; ok {
+		cancel()
+	}
+}
--- /dev/null
+++ b/routes/hash.go
@@ -0,0 +1,52 @@
+package routes
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarrun/wire"
+)
+
+// SlotOf returns the slot of key among count slots, a power of two.
+func SlotOf(key string, count uint32) uint32 {
+	return uint32(xxhash.Sum64String(key)) & (count - 1)
+}
+
+// Mix spreads the bits of a pair of numbers (the finalizer of SplitMix64).
+func Mix(a, b uint64) uint64 {
+	z := a + 0x9e3779b97f4a7c15*(b|1)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// unitHash identifies a slot, or a hot key, for the choice of an heir.
+func unitHash(slot uint32, hot string) uint64 {
+	if hot == "" {
+		return uint64(slot)
+	}
+	return xxhash.Sum64String(hot)
+}
+
+// Heir returns the member of heirs that a slot, or a hot key, falls to.
+func Heir(heirs []wire.Generation, slot uint32, hot string) wire.Generation {
+	var best wire.Generation
+	var most uint64
+	unit := unitHash(slot, hot)
+	for _, g := range heirs {
+		weight := Mix(unit, uint64(g))
+		if best == 0 || weight > most || (weight == most && g > best) {
+			best, most = g, weight
+		}
+	}
+	return best
+}
+
+// Rank sorts generations by rendezvous with seed, highest first.
+func Rank(generations []wire.Generation, seed uint64) {
+	slices.SortFunc(generations, func(a, b wire.Generation) int {
+		return cmp.Compare(Mix(seed, uint64(b)), Mix(seed, uint64(a)))
+	})
+}
--- /dev/null
+++ b/routes/keys.go
@@ -0,0 +1,33 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+
+	"fulmarrun/wire"
+)
+
+const (
+	// MemberPrefix starts the key of each member row.
+	MemberPrefix = "member/"
+	// SlotsPrefix starts the key of each row of slots.
+	SlotsPrefix = "slots/"
+	// ConfigKey is the key of the row that says which configuration is in force.
+	ConfigKey = "config/current"
+
+	// SlotsPerRow is how many slots share a row.
+	SlotsPerRow = 32
+)
+
+// MemberKey returns the key of the row of a generation.
+func MemberKey(g wire.Generation) string {
+	return fmt.Sprintf("%s%016x", MemberPrefix, uint64(g))
+}
+
+// SlotsKey returns the key of the row that holds the given slot.
+func SlotsKey(service string, slot uint32) string {
+	return fmt.Sprintf("%s%s/%08x", SlotsPrefix, service, slot-slot%SlotsPerRow)
+}
+
+func isMemberKey(key string) bool { return strings.HasPrefix(key, MemberPrefix) }
+func isSlotsKey(key string) bool  { return strings.HasPrefix(key, SlotsPrefix) }
--- /dev/null
+++ b/routes/snapshot.go
@@ -0,0 +1,218 @@
+package routes
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"fulmarrun/wire"
+)
+
+// Owner is the part of a member that traffic needs.
+type Owner struct {
+	Generation wire.Generation
+	Instance   string
+	Service    string
+	Domain     string
+	Peer       netip.AddrPort
+	State      wire.State
+}
+
+// Route tells who owns a key. Owner is nil while nobody does.
+type Route struct {
+	Owner *Owner
+	Epoch uint64
+	Slot  uint32
+	// Hot is true if the key is apart from its slot.
+	Hot bool
+}
+
+type place struct {
+	owner    *Owner
+	epoch    uint64
+	transfer uint64
+	// free is true if any conditional write may assign the slot.
+	free bool
+}
+
+type table struct {
+	slots []place
+	hot   map[string]place
+	// members are those of the service that are not closed, by generation.
+	members []*Owner
+}
+
+// Holding is a slot, or a hot key, with its route.
+type Holding struct {
+	Slot uint32
+	// Key is the hot key; empty for a whole slot.
+	Key   string
+	Owner *Owner
+	Epoch uint64
+	// Transfer names the hand-over that gave it to Owner; zero if there was none.
+	Transfer uint64
+	Free     bool
+}
+
+// Snapshot is what traffic goroutines read. It never changes.
+type Snapshot struct {
+	services map[string]*table
+	owners   map[wire.Generation]*Owner
+	changed  chan struct{}
+}
+
+func newSnapshot() *Snapshot {
+	return &Snapshot{
+		services: make(map[string]*table),
+		owners:   make(map[wire.Generation]*Owner),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Lookup returns the route of a key; ok is false if the service has no slots
+// yet. It does not allocate.
+func (s *Snapshot) Lookup(service, key string) (route Route, ok bool) {
+	t := s.services[service]
+	if t == nil || len(t.slots) == 0 {
+		return Route{}, false
+	}
+	slot := SlotOf(key, uint32(len(t.slots)))
+	if len(t.hot) > 0 {
+		if p, hot := t.hot[key]; hot {
+			return Route{Owner: p.owner, Epoch: p.epoch, Slot: slot, Hot: true}, true
+		}
+	}
+	p := t.slots[slot]
+	return Route{Owner: p.owner, Epoch: p.epoch, Slot: slot}, true
+}
+
+// Members returns the members of a service that are not closed. The slice is
+// shared and must not be changed.
+func (s *Snapshot) Members(service string) []*Owner {
+	t := s.services[service]
+	if t == nil {
+		return nil
+	}
+	return t.members
+}
+
+// Holdings calls yield for each slot and each hot key of a service.
+func (s *Snapshot) Holdings(service string) iter.Seq[Holding] {
+	return func(yield func(Holding) bool) {
+		t := s.services[service]
+		if t == nil {
+			return
+		}
+		for slot, p := range t.slots {
+			if !yield(Holding{Slot: uint32(slot), Owner: p.owner, Epoch: p.epoch, Transfer: p.transfer, Free: p.free}) {
+				return
+			}
+		}
+		for key, p := range t.hot {
+			slot := SlotOf(key, uint32(len(t.slots)))
+			if !yield(Holding{Slot: slot, Key: key, Owner: p.owner, Epoch: p.epoch, Transfer: p.transfer}) {
+				return
+			}
+		}
+	}
+}
+
+// Services returns the names of all services that have rows.
+func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
+
+// Count returns the number of slots of a service; zero before its first row.
+func (s *Snapshot) Count(service string) uint32 {
+	t := s.services[service]
+	if t == nil {
+		return 0
+	}
+	return uint32(len(t.slots))
+}
+
+// Owner returns an open generation, or nil.
+func (s *Snapshot) Owner(g wire.Generation) *Owner { return s.owners[g] }
+
+// Changed is closed when a newer snapshot has taken the place of this one.
+func (s *Snapshot) Changed() <-chan struct{} { return s.changed }
+
+// Retire closes Changed. The publisher calls it after the newer one is in place.
+func (s *Snapshot) Retire() { close(s.changed) }
+
+// Snapshot returns the state of the view for traffic. It returns the same one
+// again while nothing has changed.
+func (v *View) Snapshot() *Snapshot {
+	if !v.dirty {
+		return v.snapshot
+	}
+	next := newSnapshot()
+	for _, m := range v.Members() {
+		if m.State != wire.StateClosed {
+			next.owners[m.Generation] = v.owner(m)
+		}
+	}
+	for name, s := range v.services {
+		old := v.snapshot.services[name]
+		if s.dirty || old == nil {
+			next.services[name] = v.resolveService(name, s, next.owners)
+			s.dirty = false
+			continue
+		}
+		next.services[name] = old
+	}
+	v.snapshot, v.dirty = next, false
+	return next
+}
+
+// owner reuses the record of the snapshot before, so that tables which did not
+// change go on sharing it.
+func (v *View) owner(m *MemberRow) *Owner {
+	fresh := Owner{
+		Generation: m.Generation, Instance: m.Instance, Service: m.Service, Domain: m.Domain,
+		Peer: m.Peer, State: m.State,
+	}
+	if old := v.snapshot.owners[m.Generation]; old != nil && *old == fresh {
+		return old
+	}
+	return &fresh
+}
+
+func (v *View) resolveService(name string, s *service, owners map[wire.Generation]*Owner) *table {
+	t := &table{}
+	for _, m := range v.Members() {
+		if m.Service == name && m.State != wire.StateClosed {
+			t.members = append(t.members, owners[m.Generation])
+		}
+	}
+	// The first row is written before all others and fixes the number of slots.
+	if s.rows[0] == nil {
+		return t
+	}
+	t.slots = make([]place, s.rows[0].Count)
+	for first, row := range s.rows {
+		for i, entry := range row.Slots.Slots {
+			slot := first + uint32(i)
+			if slot >= uint32(len(t.slots)) {
+				break
+			}
+			r := v.Resolve(row, entry, slot, "")
+			t.slots[slot] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer, free: r.Free()}
+		}
+		for _, h := range row.Hot {
+			r := v.Resolve(row, h.Slot, 0, h.Key)
+			if t.hot == nil {
+				t.hot = make(map[string]place)
+			}
+			t.hot[h.Key] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer}
+		}
+	}
+	return t
+}
+
+// All returns every member that is not closed, by generation.
+func (s *Snapshot) All() []*Owner {
+	return slices.SortedFunc(maps.Values(s.owners), func(a, b *Owner) int {
+		return cmp.Compare(a.Generation, b.Generation)
+	})
+}
--- /dev/null
+++ b/wire/response.go
@@ -0,0 +1,43 @@
+package wire
+
+import "time"
+
+// Refuse returns the answer to a request that did not run.
+func Refuse(reason string, retryAfter time.Duration) *Response {
+	return &Response{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Unsure returns the answer to a request that may have run.
+func Unsure(reason string) *Response {
+	return &Response{Outcome: OutcomeUnknown, Reason: reason}
+}
+
+// Misrouted returns the answer to a request whose key is owned elsewhere; it did
+// not run and may be routed again.
+func Misrouted() *Response {
+	return &Response{Outcome: OutcomeNotRun, Reason: "moved", Moved: true}
+}
+
+// String returns the outcome as callers see it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeAnswered:
+		return "answered"
+	case OutcomeNotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// String returns the state as operators see it.
+func (s State) String() string {
+	switch s {
+	case StateActive:
+		return "active"
+	case StateLeaving:
+		return "leaving"
+	default:
+		return "closed"
+	}
+}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -11,7 +11,7 @@
 //msgp:shim Outcome as:uint8 using:uint8/Outcome
 //msgp:shim State as:uint8 using:uint8/State
 //msgp:shim netip.AddrPort as:string using:addrPortString/addrPortParse mode:convert
-//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey Memory Record Version Vote Verdict
+//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey Given Memory Record Version Vote Verdict
 
 // Generation identifies one incarnation of a daemon. It is random and never
 // zero; a restarted daemon has a new one.
@@ -104,6 +104,13 @@
 	StateClosed
 )
 
+// Given says that a generation has given away slots of the row that starts at
+// First, the last time by the change that made the row's Number.
+type Given struct {
+	First  uint32
+	Number uint64
+}
+
 // Member is the row of one generation of a daemon.
 type Member struct {
 	Instance   string         `msg:"i"`
@@ -117,6 +124,9 @@
 	State      State          `msg:"t"`
 	// Heirs share the slots of a closed generation by rendezvous hashing.
 	Heirs []Generation `msg:"h"`
+	// Given lists the rows of slots that this generation has given slots of. Who
+	// inherits from it must know those rows at least at these numbers.
+	Given []Given `msg:"v"`
 	// Joined is when this generation wrote its first row.
 	Joined time.Time `msg:"j"`
 	// Change is the request ID of the write that made this version.
@@ -130,22 +140,28 @@
 	// Owner is zero while the slot is unassigned.
 	Owner Generation
 	Epoch uint64
+	// Transfer names the hand-over that gave the slot to Owner; zero if Owner has
+	// it by assignment or by the loss of another.
+	Transfer uint64
 }
 
 // HotKey is the ownership of one key that is apart from its slot.
 type HotKey struct {
-	Key   string
-	Owner Generation
-	Epoch uint64
+	Key string
+	Slot
 }
 
 // Slots is the row of a range of slots of one service.
 type Slots struct {
-	Service string   `msg:"s"`
-	First   uint32   `msg:"f"`
-	Slots   []Slot   `msg:"e"`
-	Hot     []HotKey `msg:"h"`
-	Change  string   `msg:"x"`
+	Service string `msg:"s"`
+	// Count is how many slots the service has in all; it never changes.
+	Count uint32 `msg:"n"`
+	// Number rises by one with each change of the row.
+	Number uint64   `msg:"u"`
+	First  uint32   `msg:"f"`
+	Slots  []Slot   `msg:"e"`
+	Hot    []HotKey `msg:"h"`
+	Change string   `msg:"x"`
 }
 
 // Current is the row that says which configuration is in force.
@@ -246,8 +262,9 @@
 	Service string
 	Slot    uint32
 	// Hot is the hot key; empty for the whole slot.
-	Hot   string
-	Epoch uint64
+	Hot string
+	// Transfer is that of the slot's entry once the hand-over is done.
+	Transfer uint64
 	// Since is the time before which an ID without a record may have run.
 	Since   time.Time
 	Records []Record
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -424,6 +424,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Given) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.First)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Given) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.First, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Given) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Header) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -535,13 +577,16 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z HotKey) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *HotKey) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Key)
-	o = msgp.AppendUint64(o, uint64(z.Owner))
-	o = msgp.AppendUint64(o, z.Epoch)
+	o, err = z.Slot.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Slot")
+		return
+	}
 	return
 }
 
@@ -553,8 +598,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
@@ -562,18 +607,9 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	{
-		var zb0002 uint64
-		zb0002, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Owner")
-			return
-		}
-		z.Owner = Generation(zb0002)
-	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	bts, err = z.Slot.UnmarshalMsg(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
+		err = msgp.WrapError(err, "Slot")
 		return
 	}
 	o = bts
@@ -581,17 +617,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z HotKey) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.Uint64Size + msgp.Uint64Size
+func (z *HotKey) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + z.Slot.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "i"
-	o = append(o, 0x8d, 0xa1, 0x69)
+	o = append(o, 0x8e, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Instance)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -638,6 +674,15 @@
 	for za0002 := range z.Heirs {
 		o = msgp.AppendUint64(o, uint64(z.Heirs[za0002]))
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Given)))
+	for za0003 := range z.Given {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.Given[za0003].First)
+		o = msgp.AppendUint64(o, z.Given[za0003].Number)
+	}
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendTime(o, z.Joined)
@@ -788,6 +833,40 @@
 					z.Heirs[za0002] = Generation(zb0009)
 				}
 			}
+		case "v":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Given")
+				return
+			}
+			if cap(z.Given) >= int(zb0010) {
+				z.Given = (z.Given)[:zb0010]
+			} else {
+				z.Given = make([]Given, zb0010)
+			}
+			for za0003 := range z.Given {
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Given", za0003)
+					return
+				}
+				if zb0011 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0011}
+					return
+				}
+				z.Given[za0003].First, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Given", za0003, "First")
+					return
+				}
+				z.Given[za0003].Number, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Given", za0003, "Number")
+					return
+				}
+			}
 		case "j":
 			z.Joined, bts, err = msgp.ReadTimeBytes(bts)
 			if err != nil {
@@ -826,7 +905,7 @@
 	s += msgp.StringPrefixSize + len(zb0001) + 2
 	var zb0002 string
 	_ = z.Caller
-	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Given) * (14 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
@@ -838,7 +917,7 @@
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendUint32(o, z.Slot)
 	o = msgp.AppendString(o, z.Hot)
-	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Transfer)
 	o = msgp.AppendTime(o, z.Since)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
@@ -878,9 +957,9 @@
 		err = msgp.WrapError(err, "Hot")
 		return
 	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	z.Transfer, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
+		err = msgp.WrapError(err, "Transfer")
 		return
 	}
 	z.Since, bts, err = msgp.ReadTimeBytes(bts)
@@ -1587,10 +1666,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Slot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, uint64(z.Owner))
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Transfer)
 	return
 }
 
@@ -1602,8 +1682,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	{
@@ -1620,23 +1700,34 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Transfer, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Transfer")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Slot) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Slots) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x85, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint32(o, z.Count)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendUint64(o, z.Number)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint32(o, z.First)
@@ -1644,18 +1735,22 @@
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Slots)))
 	for za0001 := range z.Slots {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint64(o, uint64(z.Slots[za0001].Owner))
-		o = msgp.AppendUint64(o, z.Slots[za0001].Epoch)
+		o, err = z.Slots[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Slots", za0001)
+			return
+		}
 	}
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hot)))
 	for za0002 := range z.Hot {
-		o, err = z.Hot[za0002].MarshalMsg(o)
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Hot[za0002].Key)
+		o, err = z.Hot[za0002].Slot.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hot", za0002)
+			err = msgp.WrapError(err, "Hot", za0002, "Slot")
 			return
 		}
 	}
@@ -1689,6 +1784,18 @@
 				err = msgp.WrapError(err, "Service")
 				return
 			}
+		case "n":
+			z.Count, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "u":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
 		case "f":
 			z.First, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -1708,49 +1815,45 @@
 				z.Slots = make([]Slot, zb0002)
 			}
 			for za0001 := range z.Slots {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				bts, err = z.Slots[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Slots", za0001)
 					return
 				}
-				if zb0003 != 2 {
-					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-					return
-				}
-				{
-					var zb0004 uint64
-					zb0004, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Slots", za0001, "Owner")
-						return
-					}
-					z.Slots[za0001].Owner = Generation(zb0004)
-				}
-				z.Slots[za0001].Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Slots", za0001, "Epoch")
-					return
-				}
 			}
 		case "h":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Hot")
 				return
 			}
-			if cap(z.Hot) >= int(zb0005) {
-				z.Hot = (z.Hot)[:zb0005]
+			if cap(z.Hot) >= int(zb0003) {
+				z.Hot = (z.Hot)[:zb0003]
 			} else {
-				z.Hot = make([]HotKey, zb0005)
+				z.Hot = make([]HotKey, zb0003)
 			}
 			for za0002 := range z.Hot {
-				bts, err = z.Hot[za0002].UnmarshalMsg(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Hot", za0002)
 					return
 				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Hot[za0002].Key, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hot", za0002, "Key")
+					return
+				}
+				bts, err = z.Hot[za0002].Slot.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hot", za0002, "Slot")
+					return
+				}
 			}
 		case "x":
 			z.Change, bts, err = msgp.ReadStringBytes(bts)
@@ -1772,9 +1875,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Slots) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize + (len(z.Slots) * (13 + msgp.Uint64Size + msgp.Uint64Size)) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Slots {
+		s += z.Slots[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Hot {
-		s += z.Hot[za0002].Msgsize()
+		s += 1 + msgp.StringPrefixSize + len(z.Hot[za0002].Key) + z.Hot[za0002].Slot.Msgsize()
 	}
 	s += 2 + msgp.StringPrefixSize + len(z.Change)
 	return
