Report a refused file in one type, and doubt after an unknown attempt

The problems of a file had two types with one meaning, in config and here; operator now names those of config, which say the field as well. The test of their text follows the longer form.

ApplyAny gave the error of the last daemon even if an earlier attempt may have been carried out. Only acceptance and a conflict settle that; any other error after it is ErrUnknown.

--- a/operator/client.go
+++ b/operator/client.go
@@ -112,24 +112,27 @@
 }
 
 // ApplyAny sends req to the clients in turn, again and again, until one answers
-// for good or ctx ends. An end by ctx gives ErrUnknown if any attempt may have
-// been carried out.
+// for good or ctx ends. Once an attempt may have been carried out, the error is
+// ErrUnknown unless a later one is accepted or meets a *ConflictError.
 func ApplyAny(ctx context.Context, clients []*Client, req ApplyRequest, opts ...platform.BackoffOption) (ApplyReply, error) {
 	backoff := platform.NewBackoff(opts...)
 	unknown := false
 	for i := 0; ; i++ {
 		reply, err := clients[i%len(clients)].Apply(ctx, req)
-		switch {
-		case errors.Is(err, ErrUnknown), errors.Is(err, ErrUnreachable):
-			unknown = true
-		case !errors.Is(err, ErrUnavailable):
+		var conflict *ConflictError
+		if err == nil || errors.As(err, &conflict) {
 			return reply, err
 		}
-		if end := backoff.Wait(ctx); end != nil {
-			if unknown {
-				return reply, fmt.Errorf("%w: %w", ErrUnknown, err)
+		unsettled := errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnreachable)
+		unknown = unknown || unsettled
+		if unsettled || errors.Is(err, ErrUnavailable) {
+			if backoff.Wait(ctx) == nil {
+				continue
 			}
-			return reply, err
 		}
+		if unknown {
+			err = fmt.Errorf("%w: last answer: %s", ErrUnknown, err.Error())
+		}
+		return reply, err
 	}
 }
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -18,7 +18,7 @@
 //	reply, err := operator.ApplyAny(ctx, []*operator.Client{client}, operator.ApplyRequest{
 //		Text: text, Base: 6, Author: "ana", Change: uuid.Must(uuid.NewV7()).String(),
 //	})
-//	var conflict *operator.Conflict
+//	var conflict *operator.ConflictError
 //	if errors.As(err, &conflict) { … }
 //
 // # Protocol
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"fulmarrun/config"
 )
 
 var (
@@ -43,34 +45,8 @@
 		c.Number, c.Author, c.At.UTC().Format(time.RFC3339))
 }
 
-// Problem is one fault in a configuration file.
-type Problem struct {
-	File string `json:"file"`
-	// Line and Column count from 1.
-	Line   int    `json:"line"`
-	Column int    `json:"column"`
-	Want   string `json:"want"`
-	Got    string `json:"got"`
-}
+// Problem is one reason for which a file is refused.
+type Problem = config.Problem
 
-// String returns the problem in one line that starts with its place.
-func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d:%d: want %s, got %s", p.File, p.Line, p.Column, p.Want, p.Got)
-}
-
-// InvalidError tells what is wrong with a configuration file.
-type InvalidError struct {
-	Problems []Problem
-}
-
-// Error implements error.
-func (i *InvalidError) Error() string {
-	switch len(i.Problems) {
-	case 0:
-		return "invalid configuration"
-	case 1:
-		return i.Problems[0].String()
-	default:
-		return fmt.Sprintf("%s (and %d more)", i.Problems[0], len(i.Problems)-1)
-	}
-}
+// InvalidError tells what is wrong with a file.
+type InvalidError = config.InvalidError
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -92,7 +92,7 @@
 
 func TestErrors(t *testing.T) {
 	conflict := &operator.ConflictError{Number: 7, Author: "ana", At: noon}
-	invalid := &operator.InvalidError{Problems: []operator.Problem{{File: "f", Line: 2, Column: 3, Want: "a number", Got: "x"}, {}}}
+	invalid := &operator.InvalidError{Problems: []operator.Problem{{File: "f", Line: 2, Column: 3, Field: "a.b", Want: "a number", Got: "x"}, {}}}
 	cases := []struct {
 		name string
 		err  error
@@ -100,7 +100,7 @@
 		text string
 	}{
 		{"conflict", errors.Wrap(conflict, "apply"), nil, "conflict: configuration 7 by ana, accepted at 2026-12-04T12:00:00Z, is in force"},
-		{"invalid", invalid, nil, "f:2:3: want a number, got x (and 1 more)"},
+		{"invalid", invalid, nil, "f:2:3: a.b: want a number, got x\n:0:0: file: want , got "},
 		{"unknown", errors.Wrap(operator.ErrUnknown, "apply"), operator.ErrUnknown, "apply: outcome unknown: repeat with the same request ID"},
 		{"unavailable", operator.ErrUnavailable, operator.ErrUnavailable, "not available at this time"},
 		{"missing", operator.ErrMissing, operator.ErrMissing, "no such thing"},
@@ -214,6 +214,7 @@
 }
 
 func TestApplyAny(t *testing.T) {
+	lost := &operator.ConflictError{Number: 3}
 	cases := []struct {
 		name  string
 		first error // of the first daemon, always
@@ -225,6 +226,8 @@
 		{"an answer for good", operator.ErrUnavailable, operator.ErrBad, operator.ErrBad, false},
 		{"nothing was sent", operator.ErrUnavailable, operator.ErrUnavailable, operator.ErrUnavailable, false},
 		{"unknown stays unknown", operator.ErrUnknown, operator.ErrUnavailable, operator.ErrUnknown, true},
+		{"refused after unknown", operator.ErrUnknown, operator.ErrBad, operator.ErrUnknown, true},
+		{"lost after unknown", operator.ErrUnknown, lost, lost, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -244,6 +247,10 @@
 				}
 				return nil
 			}))
+			var conflict *operator.ConflictError
+			if errors.As(err, &conflict) {
+				err = lost
+			}
 			if !errors.Is(err, c.want) || errors.Is(err, operator.ErrUnknown) != c.sent {
 				t.Fatalf("got %v", err)
 			}
