Add the command line

Each command is a file with its options, its help and examples. The code is in package cli, which tests can import; the main package only says which daemon it runs.

The slots of services that have run may come from a file or from the daemon's own table, so Parse takes a function for them.

--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,132 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/config"
+)
+
+const checkHelp = `Check files without applying them. Each problem is printed with its file, line and column, what was expected and what was found. Nothing is sent anywhere.
+
+With --against, a file is also checked as a replacement of another: the slots of a service must stay as they are.
+
+Examples:
+$ fulmarrun check calor-tico.json
+$ fulmarrun check --against in-force.json calor-tico.json
+$ fulmarrun check --settings agenda-1.json agenda-2.json
+
+Ends with 3 if a file is invalid.`
+
+type checkCommand struct {
+	jsonOption
+	Settings bool   `long:"settings" description:"The files are settings of daemons"`
+	Against  string `long:"against" value-name:"FILE" description:"The file that would be replaced"`
+	Files    struct {
+		Names []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+	app *App
+}
+
+// checked is the result for one file.
+type checked struct {
+	File     string          `json:"file"`
+	OK       bool            `json:"ok"`
+	Services int             `json:"services"`
+	Kinds    int             `json:"kinds"`
+	Problems config.Problems `json:"problems"`
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	var opts []config.Option
+	if c.Against != "" {
+		previous, err := readFile(c.Against)
+		if err != nil {
+			return err
+		}
+		opts = append(opts, config.WithPrevious(previous))
+	}
+	results := make([]checked, 0, len(c.Files.Names))
+	var problems config.Problems
+	for _, name := range c.Files.Names {
+		result, err := c.check(name, opts)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		problems = append(problems, result.Problems...)
+	}
+	if err := c.report(results); err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return &config.InvalidError{Problems: problems}
+	}
+	return nil
+}
+
+func (c *checkCommand) check(name string, opts []config.Option) (checked, error) {
+	result := checked{File: name, Problems: config.Problems{}}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return result, fmt.Errorf("read file: %w", err)
+	}
+	if c.Settings {
+		_, err = config.ParseSettings(name, data)
+	} else {
+		var file *config.File
+		if file, err = config.Parse(name, data, opts...); err == nil {
+			result.count(file)
+		}
+	}
+	var invalid *config.InvalidError
+	if errors.As(err, &invalid) {
+		result.Problems = invalid.Problems
+	} else if err != nil {
+		return result, fmt.Errorf("check file: %w", err)
+	}
+	result.OK = err == nil
+	return result, nil
+}
+
+func (r *checked) count(f *config.File) {
+	r.Services = len(f.Services)
+	for i := range f.Services {
+		r.Kinds += len(f.Services[i].Kinds)
+	}
+}
+
+func (c *checkCommand) report(results []checked) error {
+	if c.JSON {
+		return c.app.printJSON(results)
+	}
+	for _, result := range results {
+		text := fmt.Sprintf("%s: %d problem(s)\n", result.File, len(result.Problems))
+		switch {
+		case result.OK && c.Settings:
+			text = fmt.Sprintf("%s: ok\n", result.File)
+		case result.OK:
+			text = fmt.Sprintf("%s: ok, %d service(s), %d kind(s)\n", result.File, result.Services, result.Kinds)
+		}
+		if err := c.app.print(text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readFile reads and checks the operators' file of that name.
+func readFile(name string) (*config.File, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read file: %w", err)
+	}
+	file, err := config.Parse(name, data)
+	if err != nil {
+		return nil, fmt.Errorf("check file: %w", err)
+	}
+	return file, nil
+}
--- /dev/null
+++ b/cli/key.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"fulmarrun/operator"
+)
+
+const keyHelp = `Tell who owns a key of a service, as a daemon knows it: the instance, its failure domain, the slot and the epoch.
+
+Examples:
+$ fulmarrun key agenda 17 --daemon 10.0.1.7:7004
+$ fulmarrun key casierie 'Muzeul de Istorie' --daemon 10.0.2.7:7004 --json`
+
+type keyCommand struct {
+	daemonOptions
+	jsonOption
+	Names struct {
+		Service string `positional-arg-name:"SERVICE" required:"yes"`
+		Key     string `positional-arg-name:"KEY" required:"yes"`
+	} `positional-args:"yes"`
+	app *App
+	ctx context.Context
+}
+
+// Execute runs the command.
+func (c *keyCommand) Execute([]string) error {
+	request := operator.KeyRequest{Service: c.Names.Service, Key: c.Names.Key}
+	reply, err := ask(c.ctx, &c.daemonOptions, func(ctx context.Context, client *operator.Client) (operator.KeyReply, error) {
+		return client.Key(ctx, request)
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.app.printJSON(reply)
+	}
+	owner := "none"
+	if reply.Instance != "" {
+		owner = fmt.Sprintf("%s (domain %s, caller %s, generation %d)", reply.Instance, reply.Domain, reply.Caller, reply.Generation)
+	}
+	return c.app.print(fmt.Sprintf("owner %s\nslot %d, hot %t, epoch %d\n", owner, reply.Slot, reply.Hot, reply.Epoch))
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"fulmarrun/operator"
+)
+
+const statusHelp = `Tell which configuration was accepted, the lowest one that is in force anywhere, which instances lag or are silent, and how each instance fares.
+
+A failure domain that was taken out is out everywhere once the lowest number in force is that of the file which took it out and no instance is silent.
+
+Examples:
+$ fulmarrun status --daemon 10.0.1.7:7004
+$ fulmarrun status --daemon 10.0.1.7:7004 --json`
+
+type statusCommand struct {
+	daemonOptions
+	jsonOption
+	app *App
+	ctx context.Context
+}
+
+// Execute runs the command.
+func (c *statusCommand) Execute([]string) error {
+	reply, err := ask(c.ctx, &c.daemonOptions, func(ctx context.Context, client *operator.Client) (operator.StatusReply, error) {
+		return client.Status(ctx)
+	})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.app.printJSON(reply)
+	}
+	return c.app.print(statusText(reply))
+}
+
+func statusText(r operator.StatusReply) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "accepted %d, lowest in force %d, lagging %s, silent %s\n",
+		r.Accepted, r.Lowest, list(r.Lagging), list(r.Silent))
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tSTATE\tCONFIG\tLEASE\tSLOTS\tINFLIGHT\tQUEUED\tLIMIT")
+	for _, i := range r.Instances {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\n", i.Instance, i.Service, i.Domain, i.State,
+			i.Config, time.Duration(i.Lease), i.Slots, i.InFlight, i.Queued, i.Limit)
+	}
+	_ = table.Flush()
+	return text.String()
+}
+
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/cmd/fulmarrun/main.go
@@ -0,0 +1,31 @@
+// Command fulmarrun is the router's daemon and its operators' command line. See
+// package cli for its commands and exit codes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/charmbracelet/log"
+
+	"fulmarrun"
+	"fulmarrun/cli"
+	"fulmarrun/config"
+)
+
+func main() {
+	app := cli.New(cli.WithDaemon(runDaemon))
+	os.Exit(app.Main(context.Background(), os.Args[1:]))
+}
+
+func runDaemon(ctx context.Context, settings config.Settings, logger *log.Logger) error {
+	router, err := fulmarrun.New(settings, fulmarrun.WithLogger(logger))
+	if err != nil {
+		return fmt.Errorf("start daemon: %w", err)
+	}
+	if err := router.Run(ctx); err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
+}
--- a/config/check.go
+++ b/config/check.go
@@ -128,15 +128,12 @@
 	}
 }
 
-// checkChange reports what must not differ from the file that is replaced.
-func checkChange(d *document, f, previous *File) {
-	slots := make(map[string]int, len(previous.Services))
-	for i := range previous.Services {
-		slots[previous.Services[i].Name] = previous.Services[i].Slots
-	}
+// checkSlots reports services that would get other slots than they have.
+func checkSlots(d *document, f *File, slots func(service string) int) {
 	for i := range f.Services {
-		if want, ok := slots[f.Services[i].Name]; ok && want != f.Services[i].Slots {
-			d.reportValue(element("/services", i)+"/slots", fmt.Sprintf("%d as before, since slots cannot change", want))
+		s := &f.Services[i]
+		if have := slots(s.Name); have != 0 && have != s.Slots {
+			d.reportValue(element("/services", i)+"/slots", fmt.Sprintf("%d as before, since slots cannot change", have))
 		}
 	}
 }
--- a/config/file.go
+++ b/config/file.go
@@ -18,20 +18,30 @@
 type Option func(*options)
 
 type options struct {
-	previous *File
+	// slots tells the slots of a service that has run; zero for another.
+	slots func(service string) int
 }
 
-// WithPrevious is a functional option that names the file that is to be
-// replaced, so that a change that is not possible is refused too: the slots of a
-// service must stay as they are.
+// WithSlots is a functional option that refuses a service whose slots differ
+// from what slots tells; it tells zero for a service that has not run.
+func WithSlots(slots func(service string) int) Option {
+	return func(o *options) { o.slots = slots }
+}
+
+// WithPrevious is a functional option that refuses a service whose slots differ
+// from those in the file that is to be replaced.
 func WithPrevious(f *File) Option {
-	return func(o *options) { o.previous = f }
+	slots := make(map[string]int, len(f.Services))
+	for i := range f.Services {
+		slots[f.Services[i].Name] = f.Services[i].Slots
+	}
+	return WithSlots(func(service string) int { return slots[service] })
 }
 
 // Parse reads the operators' file. The name is used in error messages only. A
 // refused file gives an [*InvalidError].
 func Parse(name string, data []byte, opts ...Option) (*File, error) {
-	var o options
+	o := options{slots: func(string) int { return 0 }}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -51,9 +61,7 @@
 	}
 	file := raw.file(d)
 	checkFile(d, file)
-	if o.previous != nil {
-		checkChange(d, file, o.previous)
-	}
+	checkSlots(d, file, o.slots)
 	if err := d.err(); err != nil {
 		return nil, err
 	}
