--- a/operator/applier_test.go
+++ b/operator/applier_test.go
@@ -254,6 +254,26 @@
 	}
 }
 
+// TestAuditOfPredecessor has the daemon that accepted a file stop before it
+// wrote the audit entry.
+func TestAuditOfPredecessor(t *testing.T) {
+	store := platformstub.New().Store()
+	if _, err := apply(store, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	current, _, err := inForce(store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []audit.Entry
+	if _, err := apply(store, 1, 1, operator.WithAudit(func(e audit.Entry) { entries = append(entries, e) })); err != nil {
+		t.Fatal(err)
+	}
+	if len(entries) != 2 || !entries[0].At.Equal(current.At) || entries[0].Change != "change-0" || entries[1].Change != "change-1" {
+		t.Fatalf("got %+v", entries)
+	}
+}
+
 func TestUnchangedSectionsAreNotStored(t *testing.T) {
 	stub := platformstub.New()
 	for i, want := range []uint64{3, 2} { // two sections and the row, then one
