--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -149,7 +149,10 @@
 	if err := w.Run(ctx); err == nil {
 		t.Fatal("no error for entries left")
 	}
-	if got := w.Counts(); got != (audit.Counts{Left: 2}) {
+	if w.Add(entry(2)) {
+		t.Error("added after the end")
+	}
+	if got := w.Counts(); got != (audit.Counts{Left: 2, Dropped: 1}) {
 		t.Fatalf("counts %+v", got)
 	}
 }
--- a/audit/writer.go
+++ b/audit/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,7 @@
 type Writer struct {
 	store    *platform.Store
 	queue    chan Entry
+	ended    atomic.Bool
 	drain    time.Duration
 	backoff  []platform.BackoffOption
 	written  metrics.Counter
@@ -86,8 +88,13 @@
 	return w
 }
 
-// Add queues e and reports whether there was room for it. It never blocks.
+// Add queues e and reports whether there was room for it. It never blocks. Once
+// Run has ended there is no room.
 func (w *Writer) Add(e Entry) bool {
+	if w.ended.Load() {
+		w.dropped.Inc(1)
+		return false
+	}
 	select {
 	case w.queue <- e:
 		return true
@@ -124,6 +131,7 @@
 
 // finish writes the entries given and then those that wait.
 func (w *Writer) finish(ctx context.Context, entries ...Entry) error {
+	w.ended.Store(true)
 	for len(w.queue) > 0 {
 		entries = append(entries, <-w.queue)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -19,6 +19,9 @@
 // DefaultTimeout bounds one call to a daemon.
 const DefaultTimeout = 30 * time.Second
 
+// maxAnswer bounds an answer, in bytes. The file that a request may hold fits in.
+const maxAnswer = 2 * DefaultMaxBody
+
 // Client is the operator's side of the protocol, towards one daemon.
 type Client struct {
 	addr    netip.AddrPort
@@ -93,7 +96,7 @@
 		return zero, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, DefaultMaxBody))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return zero, fmt.Errorf("%w: read answer: %w", ErrUnreachable, err)
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -14,8 +14,7 @@
 	"fulmarrun/platform"
 )
 
-// DefaultMaxBody bounds a request to a Server and an answer to a Client, in
-// bytes.
+// DefaultMaxBody bounds a request to a Server, in bytes.
 const DefaultMaxBody = 16 << 20
 
 // Paths of the protocol.
--- a/platformstub/stub_test.go
+++ b/platformstub/stub_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -223,6 +224,31 @@
 	properties.TestingRun(t)
 }
 
+// TestPages compares a page of names with the plain filter of all names.
+func TestPages(t *testing.T) {
+	ctx := context.Background()
+	word := gen.RegexMatch("[ab/]{0,3}")
+	property := prop.ForAll(func(names []string, prefix, after string, limit int) bool {
+		store := platformstub.New().Store()
+		for _, name := range names {
+			if err := store.PutObject(ctx, name, nil); err != nil {
+				return false
+			}
+		}
+		var want []string
+		for _, name := range slices.Compact(slices.Sorted(slices.Values(names))) {
+			if strings.HasPrefix(name, prefix) && name > after && len(want) < limit {
+				want = append(want, name)
+			}
+		}
+		got, err := store.ListObjects(ctx, prefix, after, limit)
+		return err == nil && slices.Equal(got, want)
+	}, gen.SliceOf(word), word, word, gen.IntRange(0, 5))
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(2))
+	properties.Property("a page is the filter of all names", property)
+	properties.TestingRun(t)
+}
+
 func BenchmarkTransact(b *testing.B) {
 	stub := platformstub.New()
 	server := httptest.NewServer(stub.Handler())
