--- a/audit/entry.go
+++ b/audit/entry.go
@@ -21,6 +21,10 @@
 	Takeover = "takeover"
 	// Move is a planned hand-over of slots or of a hot key.
 	Move = "move"
+	// Assign is a change of the owners of slots by the planner.
+	Assign = "assign"
+	// Forget is the deletion of the row of a closed generation.
+	Forget = "forget"
 	// Join is a new generation.
 	Join = "join"
 	// Leave is a generation that ends as planned.
