admission: pool, budget, hedge and proofs of the gate

Where not all that waits can make its deadline, the least valued goes, up to the first that would be late.

--- /dev/null
+++ b/admission/budget.go
@@ -0,0 +1,67 @@
+package admission
+
+import "time"
+
+const (
+	// defaultRatio is the number of retries that each first try pays for.
+	defaultRatio = 0.1
+	// defaultFloor is the number of retries that each second pays for.
+	defaultFloor = 1.0
+	// budgetDepth is the greatest number of retries saved up.
+	budgetDepth = 10.0
+)
+
+// WithRatio is a functional option that sets the number of retries that each
+// first try pays for.
+func WithRatio(ratio float64) Option {
+	return func(s *settings) { s.ratio = ratio }
+}
+
+// WithFloor is a functional option that sets the number of retries that each
+// second pays for, so that little traffic can retry too.
+func WithFloor(perSecond float64) Option {
+	return func(s *settings) { s.floor = perSecond }
+}
+
+// Budget bounds retries and hedges to a share of traffic, so that they do not
+// multiply a collapse. Each hop has one of its own. It is not safe for
+// concurrent use.
+type Budget struct {
+	ratio  float64
+	floor  float64
+	tokens float64
+	at     time.Time
+}
+
+// NewBudget returns a Budget with nothing saved up.
+func NewBudget(opts ...Option) Budget {
+	s := newSettings(opts)
+	return Budget{ratio: s.ratio, floor: s.floor}
+}
+
+// First notes a first try.
+func (b *Budget) First(now time.Time) {
+	b.accrue(now)
+	b.tokens = min(b.tokens+b.ratio, budgetDepth)
+}
+
+// Retry reports whether another try may be sent, and pays for it if so.
+func (b *Budget) Retry(now time.Time) bool {
+	b.accrue(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// accrue adds what the time since the last call pays for.
+func (b *Budget) accrue(now time.Time) {
+	if b.at.IsZero() {
+		b.at = now
+	}
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.tokens = min(b.tokens+b.floor*elapsed.Seconds(), budgetDepth)
+		b.at = now
+	}
+}
--- a/admission/core.go
+++ b/admission/core.go
@@ -184,15 +184,14 @@
 
 // wait queues a request that can make its deadline.
 func (c *Core) wait(t Ticket, now time.Time) Decision {
-	if c.urgent.Len()+c.patient.Len() >= c.set.queue {
-		return c.refuse(0, c.refusal(ReasonFull))
-	}
 	queue := c.queueOf(t.Class)
 	w := Waiter{Ticket: t, ID: c.lastID + 1}
-	if c.hopeless(&t, queue.Ahead(&w), now) {
-		return c.refuse(0, c.refusal(ReasonDeadline))
+	full := queue.Len() >= c.set.queue
+	if (full || c.hopeless(&t, queue.Ahead(&w), now)) && !queue.Worse(t.Value) {
+		return c.refuse(0, c.refusal(c.cause(full)))
 	}
 	c.lastID++
+	c.prune = true
 	queue.Push(w)
 	if t.Depth > 0 {
 		c.deep++
@@ -267,10 +266,7 @@
 // Leave withdraws a request that waits. It reports false if the request does
 // not wait any more, since it was decided on.
 func (c *Core) Leave(id uint64) bool {
-	w, ok := c.remove(id)
-	if ok {
-		c.forget(&w)
-	}
+	_, ok := c.remove(id)
 	return ok
 }
 
@@ -299,8 +295,9 @@
 	if c.closed || c.health.Draining {
 		return c.evict()
 	}
+	full := c.urgent.Len() > c.set.queue || c.patient.Len() > c.set.queue
 	if w, ok := c.expired(now); ok {
-		return c.refuse(w.ID, c.refusal(ReasonDeadline)), true
+		return c.refuse(w.ID, c.refusal(c.cause(full))), true
 	}
 	if c.paused {
 		return Decision{}, false
@@ -311,6 +308,14 @@
 	return Decision{}, false
 }
 
+// cause returns the reason for which a waiting request has to go.
+func (c *Core) cause(full bool) string {
+	if full {
+		return ReasonFull
+	}
+	return ReasonDeadline
+}
+
 // evict refuses a waiting request because the target goes.
 func (c *Core) evict() (Decision, bool) {
 	reason := ReasonDraining
@@ -326,36 +331,29 @@
 
 func always(*Waiter) bool { return true }
 
-// expired removes a request that can't make its deadline any more. All are
-// looked at after the limit has fallen; else only those that are next, since
-// the others have their cutoff.
+// expired removes a request that can't make its deadline any more, or that has
+// to go so that others can make theirs. All are looked at after one was added or
+// the limit has fallen; else only those that are next, since the others have
+// their cutoff.
 func (c *Core) expired(now time.Time) (Waiter, bool) {
 	for _, queue := range [...]*Queue{&c.urgent, &c.patient} {
-		if w, ok := c.take(queue, c.late(queue, now)); ok {
-			return w, true
+		if next := queue.First(); next != nil && next.missed(now, c.limiter.Least()) {
+			return c.take(queue, always)
+		}
+		if !c.prune {
+			continue
+		}
+		late := func(w *Waiter, ahead int) bool {
+			return ahead >= c.set.queue || c.hopeless(&w.Ticket, ahead, now)
+		}
+		if id, ok := queue.Surplus(late); ok {
+			return c.remove(id)
 		}
 	}
 	c.prune = false
 	return Waiter{}, false
 }
 
-// late returns what tells the requests of a queue that are too late, if it is
-// asked about them in order.
-func (c *Core) late(queue *Queue, now time.Time) func(*Waiter) bool {
-	if !c.prune {
-		next := queue.First()
-		if next == nil || !next.missed(now, c.limiter.Least()) {
-			return nil
-		}
-		return always
-	}
-	ahead := -1
-	return func(w *Waiter) bool {
-		ahead++
-		return c.hopeless(&w.Ticket, ahead, now)
-	}
-}
-
 // ready removes the first request that may enter.
 func (c *Core) ready(now time.Time) (Waiter, bool) {
 	limit := c.Limit(now)
@@ -376,9 +374,6 @@
 }
 
 func (c *Core) take(queue *Queue, ready func(*Waiter) bool) (Waiter, bool) {
-	if ready == nil {
-		return Waiter{}, false
-	}
 	w, ok := queue.Next(ready)
 	if ok {
 		c.forget(&w)
@@ -394,10 +389,14 @@
 }
 
 func (c *Core) remove(id uint64) (Waiter, bool) {
-	if w, ok := c.urgent.Remove(id); ok {
-		return w, true
+	w, ok := c.urgent.Remove(id)
+	if !ok {
+		w, ok = c.patient.Remove(id)
 	}
-	return c.patient.Remove(id)
+	if ok {
+		c.forget(&w)
+	}
+	return w, ok
 }
 
 func (c *Core) find(id uint64) *Waiter {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -63,6 +63,9 @@
 	limit  int
 	proven int
 	epoch  uint32
+	// cut is the epoch that the last shed or failed answers began; what began
+	// before it has had its effect.
+	cut uint32
 
 	round  sample
 	full   int
@@ -125,19 +128,17 @@
 
 // End judges a completion.
 func (l *Limiter) End(b Began, c Completion, now time.Time) {
-	if l.fixed || b.epoch != l.epoch {
+	if l.fixed || b.epoch < l.cut {
 		return
 	}
 	switch c.Result {
 	case Shed:
-		l.proven = 0
-		l.set(l.limit / 2)
+		l.halve()
 		return
 	case Failed:
 		l.failed++
 		if 4*l.failed > l.roundSize() {
-			l.proven = 0
-			l.set(l.limit / 2)
+			l.halve()
 		}
 		return
 	case Cancelled:
@@ -147,9 +148,16 @@
 			return
 		}
 	case OK:
-		if b.light {
-			l.baseline.Add(c.Latency, now)
-		}
+	}
+	if b.epoch == l.epoch {
+		l.measure(b, c, now)
+	}
+}
+
+// measure takes an answer into the round.
+func (l *Limiter) measure(b Began, c Completion, now time.Time) {
+	if b.light && c.Result == OK {
+		l.baseline.Add(c.Latency, now)
 	}
 	l.round.add(float64(c.Latency))
 	if b.full {
@@ -248,6 +256,13 @@
 	l.move(limit)
 }
 
+// halve answers a target that sheds or fails.
+func (l *Limiter) halve() {
+	l.proven = 0
+	l.set(l.limit / 2)
+	l.cut = l.epoch
+}
+
 // set begins an epoch with a new limit, within bounds, and gives up a probe.
 func (l *Limiter) set(limit int) {
 	l.restore = 0
--- /dev/null
+++ b/admission/pool_test.go
@@ -0,0 +1,150 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fulmarrun/admission"
+	"fulmarrun/wire"
+)
+
+func generations(count int) []wire.Generation {
+	all := make([]wire.Generation, count)
+	for i := range all {
+		all[i] = wire.Generation(i + 1)
+	}
+	return all
+}
+
+func TestBudget(t *testing.T) {
+	b := admission.NewBudget(admission.WithRatio(0.1), admission.WithFloor(1))
+	now := epoch
+	if b.Retry(now) {
+		t.Error("retry before any traffic")
+	}
+	retries := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		b.First(now)
+		if b.Retry(now) {
+			retries++
+		}
+	}
+	// A tenth of 1000 first tries and one for the second that passed.
+	if retries < 99 || retries > 101 {
+		t.Errorf("%d retries of 1000 tries", retries)
+	}
+}
+
+func TestHedge(t *testing.T) {
+	h := admission.NewHedge()
+	for i := range 1000 {
+		if _, ok := h.After(1); ok != (i >= 100) {
+			t.Fatalf("after %d latencies: %v", i, ok)
+		}
+		h.Record(time.Duration(i%100) * time.Millisecond)
+	}
+	delay, ok := h.After(1)
+	if !ok || delay < 93*time.Millisecond || delay > 97*time.Millisecond {
+		t.Errorf("delay %v, %v", delay, ok)
+	}
+	if _, ok := h.After(2); ok {
+		t.Error("hedged at too high a cost")
+	}
+}
+
+// pooled sends random messages to a Pool. Whatever happens, it picks only
+// members that are not excluded, finds one if there is one, and ejects no more
+// than its share.
+func pooled(seed uint64) error {
+	random := rand.New(rand.NewPCG(seed, 5))
+	p := admission.NewPool(admission.WithSeed(seed))
+	now, members := epoch, generations(1+random.IntN(8))
+	p.Set(members, now)
+	for range 1000 {
+		now = now.Add(time.Duration(random.IntN(20)) * time.Millisecond)
+		exclude := generations(random.IntN(len(members) + 1))
+		picked, ok := p.Pick(now, exclude...)
+		if ok != (len(exclude) < len(members)) {
+			return fmt.Errorf("picked %v with %d of %d excluded", ok, len(exclude), len(members))
+		}
+		if ok && (int(picked) <= len(exclude) || int(picked) > len(members)) {
+			return fmt.Errorf("picked %d with %d of %d excluded", picked, len(exclude), len(members))
+		}
+		if ejected := p.Ejected(now); float64(ejected) > 0.34*float64(len(members)) {
+			return fmt.Errorf("%d of %d ejected", ejected, len(members))
+		}
+		p.Start(picked, now)
+		latency := time.Duration(random.IntN(20)) * time.Millisecond * time.Duration(picked)
+		p.Done(picked, admission.Completion{Latency: latency, Result: admission.Result(random.IntN(4))}, now)
+	}
+	return nil
+}
+
+func TestPoolPicksMembers(t *testing.T) {
+	holds(t, 50, pooled)
+}
+
+func TestPoolEjectsAndLetsIn(t *testing.T) {
+	p := admission.NewPool()
+	now := epoch
+	members := generations(4)
+	p.Set(members, now)
+	turn := func(straggler wire.Generation) {
+		for _, g := range members {
+			latency := 10 * time.Millisecond
+			if g == straggler {
+				latency *= 10
+			}
+			p.Start(g, now)
+			p.Done(g, admission.Completion{Latency: latency}, now)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	count := func(g wire.Generation) int {
+		count := 0
+		for range 1000 {
+			if picked, _ := p.Pick(now); picked == g {
+				count++
+			}
+		}
+		return count
+	}
+	for range 20 {
+		turn(2)
+	}
+	if p.Ejected(now) != 1 || count(2) != 0 {
+		t.Errorf("straggler still in: ejected %d, picked %d", p.Ejected(now), count(2))
+	}
+	now = now.Add(1100 * time.Millisecond)
+	if p.Ejected(now) != 0 {
+		t.Error("not let in again")
+	}
+	for range 600 {
+		turn(0)
+	}
+	if n := count(2); n < 150 {
+		t.Errorf("picked %d of 1000 times after its return", n)
+	}
+	for range 20 {
+		turn(2)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	if p.Ejected(now) != 1 {
+		t.Error("the second ejection was no longer than the first")
+	}
+}
+
+func BenchmarkPoolPick(b *testing.B) {
+	p := admission.NewPool()
+	p.Set(generations(6), epoch)
+	exclude := wire.Generation(3)
+	b.ReportAllocs()
+	for b.Loop() {
+		g, _ := p.Pick(epoch, exclude)
+		p.Start(g, epoch)
+		p.Done(g, admission.Completion{Latency: time.Millisecond}, epoch)
+	}
+}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,11 +2,11 @@
 
 import "sort"
 
-// defaultQueue is the greatest number of requests that wait.
+// defaultQueue is the greatest number of requests of one class that wait.
 const defaultQueue = 512
 
-// WithQueue is a functional option that sets the greatest number of requests
-// that wait.
+// WithQueue is a functional option that sets the greatest number of requests of
+// one class that wait.
 func WithQueue(size int) Option {
 	return func(s *settings) { s.queue = size }
 }
@@ -99,6 +99,33 @@
 	return Waiter{}, false
 }
 
+// Worse reports whether a request with less value waits.
+func (q *Queue) Worse(value float64) bool {
+	for i := range q.waiters {
+		if q.waiters[i].Value < value {
+			return true
+		}
+	}
+	return false
+}
+
+// Surplus returns the request that has to go if some request would be late with
+// so many ahead of it: the one with the least value, and of these the newest,
+// up to the first that is late.
+func (q *Queue) Surplus(late func(w *Waiter, ahead int) bool) (id uint64, ok bool) {
+	var least *Waiter
+	for i := len(q.waiters) - 1; i >= 0; i-- {
+		w := &q.waiters[i]
+		if least == nil || w.Value < least.Value || (w.Value == least.Value && w.ID > least.ID) {
+			least = w
+		}
+		if late(w, len(q.waiters)-1-i) {
+			return least.ID, true
+		}
+	}
+	return 0, false
+}
+
 // Remove removes the request with this ID.
 func (q *Queue) Remove(id uint64) (Waiter, bool) {
 	for i := range q.waiters {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -1,6 +1,7 @@
 package admission
 
-// Option configures a Gate, a Core or a part of it.
+// Option configures what the constructors of this package make; each reads the
+// options that concern it.
 type Option func(*settings)
 
 // settings holds what the options of this package set.
@@ -16,6 +17,12 @@
 	seed     uint64
 	clock    Clock
 
+	ratio      float64
+	floor      float64
+	roundRobin bool
+	ejectShare float64
+	hedgeCost  float64
+
 	// classify and judge replace the ticket and the completion that the Core
 	// sees. They are nil but in tests that prove an oracle.
 	classify func(Ticket) Ticket
@@ -32,6 +39,11 @@
 		reserve:  defaultReserve,
 		maxDepth: defaultMaxDepth,
 		spare:    defaultSpare,
+
+		ratio:      defaultRatio,
+		floor:      defaultFloor,
+		ejectShare: defaultEjectShare,
+		hedgeCost:  defaultHedgeCost,
 	}
 	for _, opt := range opts {
 		opt(&s)
--- /dev/null
+++ b/admission/sim_test.go
@@ -0,0 +1,246 @@
+package admission_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fulmarrun/admission"
+)
+
+// epoch is when every simulation begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event is something that happens in a simulation.
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) {
+	last, _ := x.(event)
+	*e = append(*e, last)
+}
+
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// sim is a discrete-event simulation in virtual time.
+type sim struct {
+	now    time.Time
+	events events
+	seq    int
+	random *rand.Rand
+}
+
+func newSim(seed uint64) *sim {
+	return &sim{now: epoch, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (s *sim) at(when time.Time, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{when, s.seq, run})
+}
+
+func (s *sim) after(d time.Duration, run func()) { s.at(s.now.Add(d), run) }
+
+// run goes on until nothing more happens or the time is over.
+func (s *sim) run(limit time.Duration) {
+	for s.events.Len() > 0 {
+		e, _ := heap.Pop(&s.events).(event)
+		if e.at.After(epoch.Add(limit)) {
+			return
+		}
+		if e.at.After(s.now) {
+			s.now = e.at
+		}
+		e.run()
+	}
+}
+
+func (s *sim) elapsed() time.Duration { return s.now.Sub(epoch) }
+
+// exponential draws from an exponential distribution.
+func (s *sim) exponential(mean time.Duration) time.Duration {
+	return time.Duration(s.random.ExpFloat64() * float64(mean))
+}
+
+// arrivals calls submit at random times at the given rate per second.
+func (s *sim) arrivals(rate float64, until time.Duration, submit func()) {
+	var next func()
+	next = func() {
+		if s.elapsed() < until {
+			submit()
+			s.after(s.exponential(time.Duration(float64(time.Second)/rate)), next)
+		}
+	}
+	s.after(s.exponential(time.Duration(float64(time.Second)/rate)), next)
+}
+
+// model is a target with a concurrency that it bears and does not tell.
+type model struct {
+	sim  *sim
+	bear func() float64
+	// sheds is true if the target refuses what it can't bear; it slows down
+	// otherwise, by the power of the excess.
+	sheds    bool
+	power    float64
+	factor   func() float64
+	inFlight int
+	// excess counts the requests that began beyond what was borne.
+	excess int
+}
+
+// begin starts a request and returns how it will end.
+func (m *model) begin(service time.Duration) admission.Completion {
+	m.inFlight++
+	excess := float64(m.inFlight) / m.bear()
+	if m.factor != nil {
+		service = time.Duration(float64(service) * m.factor())
+	}
+	if excess <= 1 {
+		return admission.Completion{Latency: service}
+	}
+	m.excess++
+	if m.sheds {
+		return admission.Completion{Latency: time.Millisecond, Result: admission.Shed}
+	}
+	return admission.Completion{Latency: time.Duration(float64(service) * math.Pow(excess, m.power))}
+}
+
+// job is one request in a simulation.
+type job struct {
+	ticket  admission.Ticket
+	service time.Duration
+	asked   time.Time
+	// run, if set, takes the place of the target: it calls end when the
+	// request has ended.
+	run func(end func(admission.Completion))
+	// final is called once with the decision or, if the request was admitted,
+	// with its completion.
+	final func(d admission.Decision, c admission.Completion)
+}
+
+// station is a Core with its target.
+type station struct {
+	sim     *sim
+	core    *admission.Core
+	target  *model
+	waiting map[uint64]*job
+	// admitted, if set, sees each admission after it was made; ended sees each
+	// completion before the core does.
+	admitted func(j *job, d admission.Decision)
+	ended    func(d admission.Decision, c admission.Completion)
+}
+
+func newStation(s *sim, target *model, opts ...admission.Option) *station {
+	return &station{sim: s, core: admission.NewCore(opts...), target: target, waiting: map[uint64]*job{}}
+}
+
+func (st *station) submit(j *job) {
+	j.asked = st.sim.now
+	d := st.core.Enter(j.ticket, st.sim.now)
+	if d.Verdict != admission.Waiting {
+		st.decide(j, d)
+		return
+	}
+	st.waiting[d.ID] = j
+	st.watch(d)
+	st.drain()
+}
+
+// watch has a waiting request decided on when its cutoff comes.
+func (st *station) watch(d admission.Decision) {
+	if d.Cutoff.IsZero() {
+		return
+	}
+	st.sim.at(d.Cutoff, func() {
+		next, ok := st.core.Expire(d.ID, st.sim.now)
+		if !ok {
+			return
+		}
+		if next.Verdict == admission.Waiting {
+			st.watch(next)
+			return
+		}
+		st.settle(next)
+		st.drain()
+	})
+}
+
+func (st *station) drain() {
+	for {
+		d, ok := st.core.Next(st.sim.now)
+		if !ok {
+			return
+		}
+		st.settle(d)
+	}
+}
+
+func (st *station) settle(d admission.Decision) {
+	j := st.waiting[d.ID]
+	delete(st.waiting, d.ID)
+	st.decide(j, d)
+}
+
+func (st *station) decide(j *job, d admission.Decision) {
+	if d.Verdict == admission.Refused {
+		if j.final != nil {
+			j.final(d, admission.Completion{})
+		}
+		return
+	}
+	if st.admitted != nil {
+		st.admitted(j, d)
+	}
+	end := func(c admission.Completion) {
+		if st.ended != nil {
+			st.ended(d, c)
+		}
+		st.core.Done(d.Slot, c, st.sim.now)
+		st.drain()
+		if j.final != nil {
+			j.final(d, c)
+		}
+	}
+	if j.run != nil {
+		j.run(end)
+		return
+	}
+	c := st.target.begin(j.service)
+	st.sim.after(c.Latency, func() {
+		st.target.inFlight--
+		end(c)
+	})
+}
+
+// percentile returns the q-quantile in milliseconds.
+func percentile(latencies []time.Duration, q float64) float64 {
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	i := min(int(q*float64(len(latencies))), len(latencies)-1)
+	return float64(latencies[i]) / float64(time.Millisecond)
+}
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -19,8 +19,8 @@
 	Deadline time.Time
 	// Depth counts the nested calls above this one.
 	Depth uint8
-	// Value is what serving the request is worth. Only an order that weighs
-	// value reads it.
+	// Value is what serving the request is worth. If not all can make their
+	// deadlines, those with the least value are refused.
 	Value float64
 }
 
