admission: threshold of value for the queue in overload

Evicting the least valued alone lost up to a quarter of the value at twice the capacity, since cheap requests with short waits took each place that fell free before a dearer one came.

--- a/admission/core.go
+++ b/admission/core.go
@@ -91,6 +91,8 @@
 	reserve Reserve
 	urgent  Queue
 	patient Queue
+	// threshold is the least value that may wait as urgent.
+	threshold Threshold
 	// deep counts the nested requests that wait.
 	deep int
 
@@ -187,7 +189,11 @@
 	queue := c.queueOf(t.Class)
 	w := Waiter{Ticket: t, ID: c.lastID + 1}
 	full := queue.Len() >= c.set.queue
+	if t.Class == Urgent && t.Value < c.threshold.Value(now) {
+		return c.refuse(0, c.refusal(ReasonDeadline))
+	}
 	if (full || c.hopeless(&t, queue.Ahead(&w), now)) && !queue.Worse(t.Value) {
+		c.raise(&w, now)
 		return c.refuse(0, c.refusal(c.cause(full)))
 	}
 	c.lastID++
@@ -209,6 +215,13 @@
 	return t.missed(now, service)
 }
 
+// raise notes that an urgent request of this value had to go for lack of room.
+func (c *Core) raise(w *Waiter, now time.Time) {
+	if w.Class == Urgent {
+		c.threshold.Raise(w.Value, c.drain(c.urgent.Len()+1), now)
+	}
+}
+
 // cutoff returns when a request can no longer make its deadline, even if it
 // were next.
 func (c *Core) cutoff(t *Ticket) time.Time {
@@ -347,7 +360,9 @@
 			return ahead >= c.set.queue || c.hopeless(&w.Ticket, ahead, now)
 		}
 		if id, ok := queue.Surplus(late); ok {
-			return c.remove(id)
+			w, ok := c.remove(id)
+			c.raise(&w, now)
+			return w, ok
 		}
 	}
 	c.prune = false
