Run the path in separate processes, and the demonstration

A daemon now reads the rows again after its join is known to be in the table, so that of two the later one sees the earlier. - A daemon that had left took its own closing for that of a peer and joined again. It now tells the two apart by whether it had begun to close. - The row of a lost member was deleted at once, since the time of joining was zero. It is now kept for 10 minutes from when its closing was learned.

--- a/cmd/fulmarrun/main.go
+++ b/cmd/fulmarrun/main.go
@@ -12,10 +12,11 @@
 	"fulmarrun"
 	"fulmarrun/cli"
 	"fulmarrun/config"
+	"fulmarrun/demo"
 )
 
 func main() {
-	app := cli.New(cli.WithDaemon(runDaemon))
+	app := cli.New(cli.WithDaemon(runDaemon), cli.WithDemo(demo.Run))
 	os.Exit(app.Main(context.Background(), os.Args[1:]))
 }
 
--- /dev/null
+++ b/cmd/fulmarstub/main.go
@@ -0,0 +1,94 @@
+// Command fulmarstub runs a stand-in of the platform or of a target as a process
+// of its own, for tests across processes and for experiments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"fulmarrun/platformstub"
+	"fulmarrun/targetstub"
+)
+
+type address struct{ netip.AddrPort }
+
+// UnmarshalFlag parses an IP number and a port.
+func (a *address) UnmarshalFlag(value string) error {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return fmt.Errorf("parse address: %w", err)
+	}
+	a.AddrPort = parsed
+	return nil
+}
+
+type platformCommand struct {
+	Listen address `long:"listen" required:"yes" value-name:"IP:PORT" description:"Address to serve on"`
+	ctx    context.Context
+}
+
+// Execute serves the platform's stand-in until a signal.
+func (c *platformCommand) Execute([]string) error {
+	server := &http.Server{
+		Addr: c.Listen.String(), Handler: platformstub.New().Handler(), ReadHeaderTimeout: time.Second,
+	}
+	context.AfterFunc(c.ctx, func() { _ = server.Close() })
+	if err := server.ListenAndServe(); err != nil && c.ctx.Err() == nil {
+		return fmt.Errorf("serve platform: %w", err)
+	}
+	return nil
+}
+
+type targetCommand struct {
+	Listen   address       `long:"listen" required:"yes" value-name:"IP:PORT" description:"Address to serve on"`
+	Daemon   address       `long:"daemon" required:"yes" value-name:"IP:PORT" description:"Where to announce"`
+	Name     string        `long:"name" required:"yes" description:"Name of the instance"`
+	Checks   bool          `long:"checks" description:"Check grants"`
+	Work     time.Duration `long:"work" description:"How long a request takes"`
+	Capacity int           `long:"capacity" default:"20" description:"Requests that it bears at once"`
+	ctx      context.Context
+}
+
+// Execute runs a stub target until a signal.
+func (c *targetCommand) Execute([]string) error {
+	opts := []targetstub.Option{
+		targetstub.WithListen(c.Listen.AddrPort), targetstub.WithDaemon(c.Daemon.AddrPort),
+		targetstub.WithName(c.Name), targetstub.WithWork(c.Work), targetstub.WithCapacity(c.Capacity),
+	}
+	if c.Checks {
+		opts = append(opts, targetstub.WithChecks())
+	}
+	if err := targetstub.NewStub(opts...).Run(c.ctx); err != nil && c.ctx.Err() == nil {
+		return fmt.Errorf("run target: %w", err)
+	}
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser := flags.NewNamedParser("fulmarstub", flags.Default)
+	for _, c := range []struct {
+		name, help string
+		data       flags.Commander
+	}{
+		{"platform", "Run the platform's stand-in", &platformCommand{ctx: ctx}},
+		{"target", "Run a stub target", &targetCommand{ctx: ctx}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.help, c.help+".", c.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		stop()
+		os.Exit(1)
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -73,6 +74,8 @@
 	takeovers   map[wire.Generation]*takeover
 	predecessor map[wire.Generation]time.Time
 	orphans     map[wire.Generation]time.Time
+	// closedSince is when the closing of a generation was learned.
+	closedSince map[wire.Generation]time.Time
 
 	config   ConfigLoaded
 	loading  uint64
@@ -98,6 +101,7 @@
 		takeovers:   make(map[wire.Generation]*takeover),
 		predecessor: make(map[wire.Generation]time.Time),
 		orphans:     make(map[wire.Generation]time.Time),
+		closedSince: make(map[wire.Generation]time.Time),
 	}
 	WithSeed(uint64(self.Generation))(c)
 	for _, opt := range opts {
@@ -223,12 +227,18 @@
 
 // noticeRow keeps what is derived from rows in step with them.
 func (c *Core) noticeRow(now time.Time, row wire.Row) {
+	if row.Deleted {
+		maps.DeleteFunc(c.closedSince, func(g wire.Generation, _ time.Time) bool {
+			return routes.MemberKey(g) == row.Key
+		})
+		return
+	}
 	if row.Key == routes.ConfigKey {
 		c.loadConfig(wire.Generation(0))
 		return
 	}
 	var m wire.Member
-	if row.Deleted || wire.Decode(row.Value, &m) != nil || m.Generation == 0 {
+	if wire.Decode(row.Value, &m) != nil || m.Generation == 0 {
 		return
 	}
 	if routes.MemberKey(m.Generation) != row.Key {
@@ -244,6 +254,8 @@
 		return
 	}
 	if m.State == wire.StateClosed {
+		c.closedSince[m.Generation] = now
+		delete(c.orphans, m.Generation)
 		c.witness.Forget(m.Generation)
 		delete(c.takeovers, m.Generation)
 		for _, t := range c.takeovers {
@@ -265,10 +277,15 @@
 		return
 	}
 	c.self, c.version = m, version
-	if m.State == wire.StateClosed {
-		c.closed = true
-		c.emit(Closed{Reason: m.Reason})
+	if m.State != wire.StateClosed {
+		return
+	}
+	c.closed = true
+	if c.closing {
+		c.emit(Empty{})
+		return
 	}
+	c.emit(Closed{Reason: m.Reason})
 }
 
 func (c *Core) rowsArrived(now time.Time, m RowsArrived) { c.put(now, m.From, m.Rows) }
--- a/control/effect.go
+++ b/control/effect.go
@@ -91,6 +91,9 @@
 // Probe asks the platform for any answer.
 type Probe struct{}
 
+// Reload reads all rows from the platform again and brings them as RowsArrived.
+type Reload struct{}
+
 // Drain stops admission and waits for running requests; Drained ends it.
 type Drain struct{}
 
@@ -111,5 +114,6 @@
 func (MoveEnd) effect()       {}
 func (Closed) effect()        {}
 func (Probe) effect()         {}
+func (Reload) effect()        {}
 func (Drain) effect()         {}
 func (Empty) effect()         {}
--- a/control/message.go
+++ b/control/message.go
@@ -29,7 +29,11 @@
 }
 
 // Loaded ends the first reading of the platform's rows.
-type Loaded struct{ Rows []wire.Row }
+type Loaded struct {
+	Rows []wire.Row
+	// Wall is the wall clock.
+	Wall time.Time
+}
 
 // WriteDone is the known result of a Write.
 type WriteDone struct {
--- a/control/plan.go
+++ b/control/plan.go
@@ -156,7 +156,7 @@
 func (c *Core) collect(now time.Time) {
 	for _, m := range c.view.Members() {
 		if m.Service != c.self.Service || m.State != wire.StateClosed ||
-			c.wall.Sub(m.Joined) < retainClosed || c.referenced(m.Generation) {
+			now.Sub(c.closedSince[m.Generation]) < retainClosed || c.referenced(m.Generation) {
 			continue
 		}
 		if !c.storeReady(now) {
--- a/control/self.go
+++ b/control/self.go
@@ -18,6 +18,7 @@
 
 // loaded joins: it writes the own row for the first time.
 func (c *Core) loaded(now time.Time, m Loaded) {
+	c.wall = m.Wall
 	c.put(now, 0, m.Rows)
 	for _, other := range c.openMembers() {
 		if other.Instance == c.self.Instance && other.Peer == c.self.Peer {
@@ -60,8 +61,11 @@
 	switch m.Write.Purpose {
 	case PurposeSelf:
 		c.writing = false
-		if m.Applied {
+		if m.Applied && !c.joined {
 			c.joined = true
+			// Two that join at the same time may both have read the rows before
+			// the other wrote its own, and nobody else would tell them.
+			c.emit(Reload{})
 		}
 	case PurposeTakeover:
 		delete(c.takeovers, m.Write.Subject)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,9 @@
 	"fulmarrun/wire"
 )
 
+// bindTries bounds the search for a port that is free for both TCP and UDP.
+const bindTries = 32
+
 // Option configures a Daemon.
 type Option func(*Daemon)
 
@@ -130,36 +133,54 @@
 }
 
 func (d *Daemon) bind() error {
-	s := d.settings
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Peer))
-	if err != nil {
-		return fmt.Errorf("bind heartbeats: %w", err)
+	if err := d.bindPeer(); err != nil {
+		return err
 	}
-	d.datagrams = peer.NewDatagrams(udp)
-	// The TCP port follows the UDP port, also when the settings leave it open.
-	bound := addrOf(udp.LocalAddr())
+	s := d.settings
 	for _, b := range []struct {
 		to   *net.Listener
-		addr string
+		addr netip.AddrPort
 		what string
 	}{
-		{&d.listeners.peer, bound.String(), "peers"},
-		{&d.listeners.caller, s.Caller.String(), "callers"},
-		{&d.listeners.target, s.Target.String(), "target"},
-		{&d.listeners.operator, s.Operator.String(), "operators"},
+		{&d.listeners.caller, s.Caller, "callers"},
+		{&d.listeners.target, s.Target, "target"},
+		{&d.listeners.operator, s.Operator, "operators"},
 	} {
-		if *b.to, err = net.Listen("tcp", b.addr); err != nil {
+		l, err := net.Listen("tcp", b.addr.String())
+		if err != nil {
 			d.unbind()
 			return fmt.Errorf("bind %s: %w", b.what, err)
 		}
+		*b.to = l
 	}
-	d.settings.Peer = bound
 	d.settings.Caller = addrOf(d.listeners.caller.Addr())
 	d.settings.Target = addrOf(d.listeners.target.Addr())
 	d.settings.Operator = addrOf(d.listeners.operator.Addr())
 	return nil
 }
 
+// bindPeer binds one port for both TCP and UDP. A port that the settings leave
+// open is chosen until it is free for both.
+func (d *Daemon) bindPeer() error {
+	var err error
+	for range bindTries {
+		var udp *net.UDPConn
+		if udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.settings.Peer)); err != nil {
+			return fmt.Errorf("bind heartbeats: %w", err)
+		}
+		bound := addrOf(udp.LocalAddr())
+		if d.listeners.peer, err = net.Listen("tcp", bound.String()); err == nil {
+			d.datagrams, d.settings.Peer = peer.NewDatagrams(udp), bound
+			return nil
+		}
+		_ = udp.Close()
+		if d.settings.Peer.Port() != 0 {
+			break
+		}
+	}
+	return fmt.Errorf("bind peers: %w", err)
+}
+
 // addrOf returns the address that a socket is bound to.
 func addrOf(a net.Addr) netip.AddrPort {
 	switch a := a.(type) {
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -43,6 +43,10 @@
 		i.spawn(func(ctx context.Context) { i.prepareMove(ctx, e) })
 	case control.Probe:
 		i.spawn(i.probe)
+	case control.Reload:
+		i.spawn(func(ctx context.Context) {
+			i.load(ctx, func(rows []wire.Row) control.Message { return control.RowsArrived{Rows: rows} })
+		})
 	case control.Drain:
 		i.spawn(i.drain)
 	case control.Closed:
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -90,7 +90,9 @@
 	defer i.end()
 	i.d.server.SetLedger(i.ledger)
 	i.publish()
-	i.spawn(func(ctx context.Context) { i.load(ctx) })
+	i.spawn(func(ctx context.Context) {
+		i.load(ctx, func(rows []wire.Row) control.Message { return control.Loaded{Rows: rows, Wall: time.Now()} })
+	})
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	overdue := newTimer()
@@ -210,12 +212,12 @@
 }
 
 // load reads all rows from the platform, however long it takes to answer.
-func (i *incarnation) load(ctx context.Context) {
+func (i *incarnation) load(ctx context.Context, message func([]wire.Row) control.Message) {
 	backoff := platform.NewBackoff()
 	for {
 		rows, err := i.list(ctx)
 		if err == nil {
-			i.post(ctx, control.Loaded{Rows: rows})
+			i.post(ctx, message(rows))
 			return
 		}
 		i.d.log.Warn("platform not read", "instance", i.self.Instance, "err", err)
