--- a/config/file_test.go
+++ b/config/file_test.go
@@ -148,6 +148,17 @@
 	}
 }
 
+func TestParseBoundsProblems(t *testing.T) {
+	_, err := config.Parse("bad.json", []byte(`{"services":[`+strings.Repeat("0,", 1000)+`]}`))
+	var invalid *config.InvalidError
+	if !errors.As(err, &invalid) || len(invalid.Problems) != 100 {
+		t.Errorf("want 100 problems, got %.200v", err)
+	}
+	if _, err := config.Parse("big.json", make([]byte, config.MaxSize+1)); !errors.As(err, &invalid) {
+		t.Errorf("a file above the limit: %v", err)
+	}
+}
+
 func TestParseWithPrevious(t *testing.T) {
 	data := example(t, "calor-tico.json")
 	previous, err := config.Parse("calor-tico.json", data)
--- a/config/split_test.go
+++ b/config/split_test.go
@@ -16,6 +16,11 @@
 	if !bytes.Equal(config.Join(sections), data) {
 		t.Fatal("joined sections differ from the file")
 	}
+	for _, section := range sections[1:] {
+		if section[0] != '{' {
+			t.Errorf("section starts with %q, want the start of a service", section[:10])
+		}
+	}
 	changed := config.Split(bytes.Replace(data, []byte(`"wait": "10s"`), []byte(`"wait": "11s"`), 1))
 	different := 0
 	for i := range sections {
