--- /dev/null
+++ b/admission/load_bench_test.go
@@ -0,0 +1,313 @@
+package admission_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"fulmarrun/admission"
+	"fulmarrun/wire"
+)
+
+// ingress is one daemon through which callers reach an unkeyed service.
+type ingress struct {
+	pool   *admission.Pool
+	budget admission.Budget
+	hedge  *admission.Hedge
+}
+
+// fleet is an unkeyed service of several targets, each with its daemon.
+type fleet struct {
+	sim       *sim
+	stations  []*station
+	ingresses []*ingress
+	waits     []time.Duration
+	straggled []time.Duration
+	asked     int
+	tries     int
+	late      int
+	imbalance []float64
+}
+
+const (
+	fleetSize    = 6
+	fleetSlots   = 20
+	fleetService = 20 * time.Millisecond
+	slowFrom     = 10 * time.Second
+	slowUntil    = 20 * time.Second
+	fleetLength  = 30 * time.Second
+)
+
+func newFleet(seed uint64, opts ...admission.Option) *fleet {
+	s := newSim(seed)
+	f := &fleet{sim: s}
+	for i := range fleetSize {
+		target := &model{sim: s, bear: func() float64 { return fleetSlots }, power: 1}
+		if i == 2 {
+			target.factor = func() float64 {
+				if e := s.elapsed(); e >= slowFrom && e < slowUntil {
+					return 10
+				}
+				return 1
+			}
+		}
+		f.stations = append(f.stations, newStation(s, target, opts...))
+		in := &ingress{
+			pool:   admission.NewPool(append(opts, admission.WithSeed(seed+uint64(i)))...),
+			budget: admission.NewBudget(opts...),
+			hedge:  admission.NewHedge(opts...),
+		}
+		in.pool.Set(generations(fleetSize), s.now)
+		f.ingresses = append(f.ingresses, in)
+	}
+	return f
+}
+
+// call is one request to a fleet, with its tries.
+type call struct {
+	fleet    *fleet
+	in       *ingress
+	asked    time.Time
+	deadline time.Time
+	service  time.Duration
+	tried    []wire.Generation
+	pending  int
+	over     bool
+}
+
+func (f *fleet) submit() {
+	c := &call{
+		fleet:    f,
+		in:       f.ingresses[f.sim.random.IntN(fleetSize)],
+		asked:    f.sim.now,
+		deadline: f.sim.now.Add(2 * time.Second),
+		service:  f.sim.exponential(fleetService),
+	}
+	f.asked++
+	c.in.budget.First(f.sim.now)
+	c.try()
+	if delay, ok := c.in.hedge.After(1); ok {
+		f.sim.after(delay, func() {
+			if !c.over && c.in.budget.Retry(f.sim.now) {
+				c.try()
+			}
+		})
+	}
+}
+
+func (c *call) try() {
+	f, began := c.fleet, c.fleet.sim.now
+	g, ok := c.in.pool.Pick(began, c.tried...)
+	if !ok {
+		return
+	}
+	f.tries++
+	c.pending++
+	c.tried = append(c.tried, g)
+	c.in.pool.Start(g, began)
+	j := &job{ticket: admission.Ticket{Deadline: c.deadline}, service: c.service}
+	j.final = func(d admission.Decision, done admission.Completion) {
+		c.pending--
+		c.in.pool.Done(g, admission.Completion{Latency: f.sim.now.Sub(began), Result: result(d, done)}, f.sim.now)
+		c.end(began, result(d, done))
+	}
+	f.stations[g-1].submit(j)
+}
+
+// result tells the ingress how a try ended.
+func result(d admission.Decision, done admission.Completion) admission.Result {
+	if d.Verdict == admission.Refused {
+		return admission.Shed
+	}
+	return done.Result
+}
+
+func (c *call) end(began time.Time, r admission.Result) {
+	f := c.fleet
+	if c.over {
+		return
+	}
+	if r != admission.OK {
+		if c.pending == 0 && !c.in.budget.Retry(f.sim.now) {
+			c.over = true
+			f.late++
+		} else if c.pending == 0 {
+			c.try()
+		}
+		return
+	}
+	c.over = true
+	c.in.hedge.Record(f.sim.now.Sub(began))
+	wait := f.sim.now.Sub(c.asked)
+	f.waits = append(f.waits, wait)
+	if at := c.asked.Sub(epoch); at >= slowFrom && at < slowUntil {
+		f.straggled = append(f.straggled, wait)
+	}
+}
+
+// observe samples how unevenly the work in flight is spread before any target
+// straggles.
+func (f *fleet) observe() {
+	if f.sim.elapsed() >= slowFrom {
+		return
+	}
+	sum, most := 0, 0
+	for _, st := range f.stations {
+		n := st.core.Stats(f.sim.now)
+		sum, most = sum+n.InFlight+n.Queued, max(most, n.InFlight+n.Queued)
+	}
+	if sum > 0 {
+		f.imbalance = append(f.imbalance, float64(most)*fleetSize/float64(sum))
+	}
+	f.sim.after(10*time.Millisecond, f.observe)
+}
+
+// BenchmarkStraggler has one of six targets be ten times slower for 10 s, while
+// no report says so, at half of the capacity.
+func BenchmarkStraggler(b *testing.B) {
+	noHedge := admission.WithHedgeCost(-1)
+	cases := []struct {
+		name string
+		opts []admission.Option
+	}{
+		{"round-robin", []admission.Option{admission.WithRoundRobin(), admission.WithEjectShare(0), noHedge}},
+		{"two-choices", []admission.Option{admission.WithEjectShare(0), noHedge}},
+		{"ejection", []admission.Option{noHedge}},
+		{"hedge", nil},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(1, append(slices.Clone(c.opts), admission.WithCeiling(fleetSlots))...)
+				f.sim.after(time.Second, f.observe)
+				rate := 0.5 * fleetSize * fleetSlots / fleetService.Seconds()
+				f.sim.arrivals(rate, fleetLength, f.submit)
+				f.sim.run(fleetLength + 5*time.Second)
+				imbalance := 0.0
+				for _, x := range f.imbalance {
+					imbalance += x / float64(len(f.imbalance))
+				}
+				b.ReportMetric(percentile(f.straggled, 0.5), "slow-p50-ms")
+				b.ReportMetric(percentile(f.straggled, 0.99), "slow-p99-ms")
+				b.ReportMetric(percentile(f.straggled, 0.999), "slow-p999-ms")
+				b.ReportMetric(percentile(f.waits, 0.99), "p99-ms")
+				b.ReportMetric(imbalance, "most/mean")
+				b.ReportMetric(100*float64(f.late)/float64(f.asked), "%lost")
+				b.ReportMetric(float64(f.tries)/float64(f.asked), "tries/request")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// BenchmarkColdStart offers nine tenths of its warm capacity to a target that
+// bears 2 requests when cold and 20 after 10 s of warming, that turns cold again
+// after 20 s without a word, and whose work takes longer by the square of what
+// is too much.
+func BenchmarkColdStart(b *testing.B) {
+	const slots, service, turn, length = 20, 20 * time.Millisecond, 20 * time.Second, 40 * time.Second
+	cases := []struct {
+		name string
+		opts []admission.Option
+	}{
+		{"no-limit", []admission.Option{admission.WithFixedLimit(1 << 20)}},
+		{"fixed-20", []admission.Option{admission.WithFixedLimit(slots)}},
+		{"adaptive", nil},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				s := newSim(1)
+				target := &model{sim: s, power: 2}
+				target.bear = func() float64 {
+					warm := s.elapsed() % turn
+					return min(2+18*warm.Seconds()/10, slots)
+				}
+				st := newStation(s, target, c.opts...)
+				begun, served, worst := 0, 0, 0.0
+				st.admitted = func(*job, admission.Decision) {
+					begun++
+					worst = max(worst, float64(target.inFlight+1)/target.bear())
+				}
+				s.arrivals(0.9*slots/service.Seconds(), length, func() {
+					deadline := s.now.Add(500 * time.Millisecond)
+					j := &job{ticket: admission.Ticket{Deadline: deadline}, service: s.exponential(service)}
+					j.final = func(d admission.Decision, _ admission.Completion) {
+						if d.Verdict == admission.Admitted && !s.now.After(deadline) {
+							served++
+						}
+					}
+					st.submit(j)
+				})
+				s.run(length)
+				b.ReportMetric(float64(served)/length.Seconds(), "in-time/s")
+				b.ReportMetric(100*float64(target.excess)/float64(begun), "%beyond")
+				b.ReportMetric(worst, "most/borne")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// BenchmarkPatient offers urgent work that comes in bursts, half of the capacity
+// on average, and patient work without end.
+func BenchmarkPatient(b *testing.B) {
+	const slots, service, length = 20, 20 * time.Millisecond, 30 * time.Second
+	urgent := admission.WithClassify(func(t admission.Ticket) admission.Ticket {
+		t.Class = admission.Urgent
+		return t
+	})
+	cases := []struct {
+		name    string
+		patient float64
+		opts    []admission.Option
+	}{
+		{"none", 0, nil},
+		{"as-urgent", 600, []admission.Option{urgent}},
+		{"when-limit-allows", 600, []admission.Option{admission.WithSpare(1)}},
+		{"spare", 600, nil},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				s := newSim(1)
+				st := newStation(s, &model{sim: s, bear: func() float64 { return slots }, power: 1}, c.opts...)
+				var waits []time.Duration
+				lost, patient := 0, 0
+				submit := func(class admission.Class, wait time.Duration) {
+					deadline := s.now.Add(wait)
+					j := &job{
+						ticket:  admission.Ticket{Class: class, Deadline: deadline},
+						service: s.exponential(service),
+					}
+					j.final = func(d admission.Decision, _ admission.Completion) {
+						inTime := d.Verdict == admission.Admitted && !s.now.After(deadline)
+						switch {
+						case class == admission.Patient && inTime:
+							patient++
+						case class == admission.Urgent && inTime:
+							waits = append(waits, s.now.Sub(j.asked))
+						case class == admission.Urgent:
+							lost++
+						}
+					}
+					st.submit(j)
+				}
+				s.arrivals(1000, length, func() {
+					if s.elapsed()%(2*time.Second) < time.Second {
+						submit(admission.Urgent, 500*time.Millisecond)
+					}
+				})
+				if c.patient > 0 {
+					s.arrivals(c.patient, length, func() { submit(admission.Patient, 10*time.Second) })
+				}
+				s.run(length)
+				b.ReportMetric(float64(patient)/length.Seconds(), "patient/s")
+				b.ReportMetric(percentile(waits, 0.5), "urgent-p50-ms")
+				b.ReportMetric(percentile(waits, 0.99), "urgent-p99-ms")
+				b.ReportMetric(100*float64(lost)/float64(lost+len(waits)), "%urgent-lost")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -14,6 +14,10 @@
 	defaultEjectShare = 0.34
 	// peakDecay is the time in which a peak of latency falls to 1/e.
 	peakDecay = 2 * time.Second
+	// forgetTime is how long a target is judged by its last answer.
+	forgetTime = 10 * time.Second
+	// shedCost is the longest latency that shed answers stand for.
+	shedCost = time.Second
 	// newcomerLatency is assumed of a target that has answered nothing while
 	// no other has either.
 	newcomerLatency = time.Millisecond
@@ -277,8 +281,10 @@
 func (m *member) observe(c Completion, now time.Time) {
 	m.progressAt = now
 	switch c.Result {
-	case Failed, Shed:
+	case Failed:
 		m.failures++
+	case Shed:
+		m.avoid(now)
 	case OK:
 		m.failures = 0
 		m.measure(float64(c.Latency), now)
@@ -294,27 +300,39 @@
 }
 
 func (m *member) measure(latency float64, now time.Time) {
-	keep := math.Exp(-float64(now.Sub(m.measuredAt)) / float64(peakDecay))
-	m.measuredAt = now
-	if latency >= m.peak {
-		m.peak = latency
-	} else {
-		m.peak = latency + (m.peak-latency)*keep
-	}
 	if m.mean == 0 {
 		m.mean = latency
 	}
+	m.peak = max(m.decayed(now), latency)
 	m.mean += (latency - m.mean) / 8
+	m.measuredAt = now
 	m.answers++
 }
 
+// avoid makes a target that sheds look slower, since its quick refusals would
+// make it look free.
+func (m *member) avoid(now time.Time) {
+	m.peak = min(2*max(m.decayed(now), m.mean), float64(shedCost))
+	m.measuredAt = now
+}
+
+// decayed returns the peak latency, which falls to the mean with time.
+func (m *member) decayed(now time.Time) float64 {
+	keep := math.Exp(-float64(now.Sub(m.measuredAt)) / float64(peakDecay))
+	return m.mean + (m.peak-m.mean)*keep
+}
+
 // latency returns the peak latency, or how long the member has been silent
-// while it has work, if that is longer.
+// while it has work, if that is longer; zero if nothing is known.
 func (m *member) latency(now time.Time) float64 {
-	if m.inFlight == 0 {
-		return m.peak
+	latency := 0.0
+	if now.Sub(m.measuredAt) <= forgetTime {
+		latency = m.decayed(now)
+	}
+	if m.inFlight > 0 {
+		latency = max(latency, float64(now.Sub(m.progressAt)))
 	}
-	return max(m.peak, float64(now.Sub(m.progressAt)))
+	return latency
 }
 
 // ramp returns the weight of a member that is new or was let in again, rising
