Print keys and leases in the form of the audit trail

Seen in a trial with four daemons: a key's owner had a decimal generation where the audit trail has hexadecimal, an address that wasn't known was printed as invalid, and show before the first file gave a date of year 1.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -230,7 +230,7 @@
 				return operator.KeyReply{}, operator.ErrMissing
 			}
 			return operator.KeyReply{
-				Service: req.Service, Key: req.Key, Slot: 9, Instance: "agenda-1", Epoch: 3,
+				Service: req.Service, Key: req.Key, Slot: 9, Instance: "agenda-1", Domain: "sanjose", Generation: 255, Epoch: 3,
 				Caller: netip.MustParseAddrPort("10.0.1.7:7002"),
 			}, nil
 		}
@@ -248,7 +248,7 @@
 		"audit":       {[]string{"audit", "--since", "2026-12-04T06:00:00Z"}, cli.CodeDone, `at=2026-12-04T06:00:00Z who="ana" what=config subject="" from="5" to="6"`, ""},
 		"audit json":  {[]string{"audit", "--json"}, cli.CodeDone, `"change": "` + change, ""},
 		"audit limit": {[]string{"audit", "--limit", "0"}, cli.CodeFailed, "", "limit must be 1 to 1000"},
-		"key":         {[]string{"key", "agenda", "17"}, cli.CodeDone, "owner agenda-1 (domain , caller 10.0.1.7:7002, generation 0)\nslot 9, hot false, epoch 3\n", ""},
+		"key":         {[]string{"key", "agenda", "17"}, cli.CodeDone, "owner agenda-1 in domain sanjose, generation 00000000000000ff, caller 10.0.1.7:7002\nslot 9, hot false, epoch 3\n", ""},
 		"key json":    {[]string{"key", "agenda", "17", "--json"}, cli.CodeDone, `"epoch": 3`, ""},
 		"key missing": {[]string{"key", "despacho", "17"}, cli.CodeFailed, "", operator.ErrMissing.Error()},
 		"leave":       {[]string{"leave"}, cli.CodeDone, "leaving: " + daemon, ""},
@@ -261,6 +261,12 @@
 			}
 		})
 	}
+	t.Run("nothing in force", func(t *testing.T) {
+		empty := serve(t, func(s *operator.Server) {
+			s.Show = func(context.Context) (operator.ShowReply, error) { return operator.ShowReply{}, nil }
+		})
+		execute(nil, "show", "--daemon", empty).check(t, cli.CodeDone, "", `msg="no configuration in force" number=0`)
+	})
 	t.Run("next daemon", func(t *testing.T) {
 		execute(nil, "show", "--daemon", closedAddress(), "--daemon", daemon).check(t, cli.CodeDone, "// text", "")
 	})
--- a/cli/key.go
+++ b/cli/key.go
@@ -36,9 +36,16 @@
 	if c.JSON {
 		return c.app.printJSON(reply)
 	}
+	return c.app.print(keyText(reply))
+}
+
+func keyText(r operator.KeyReply) string {
 	owner := "none"
-	if reply.Instance != "" {
-		owner = fmt.Sprintf("%s (domain %s, caller %s, generation %d)", reply.Instance, reply.Domain, reply.Caller, reply.Generation)
+	if r.Instance != "" {
+		owner = fmt.Sprintf("%s in domain %s, generation %016x", r.Instance, r.Domain, uint64(r.Generation))
+	}
+	if r.Caller.IsValid() {
+		owner += ", caller " + r.Caller.String()
 	}
-	return c.app.print(fmt.Sprintf("owner %s\nslot %d, hot %t, epoch %d\n", owner, reply.Slot, reply.Hot, reply.Epoch))
+	return fmt.Sprintf("owner %s\nslot %d, hot %t, epoch %d\n", owner, r.Slot, r.Hot, r.Epoch)
 }
--- a/cli/show.go
+++ b/cli/show.go
@@ -42,6 +42,10 @@
 			Number: reply.Number, Digest: reply.Digest, Author: reply.Author, At: reply.At, Text: string(reply.Text),
 		})
 	}
+	if reply.Number == 0 {
+		c.app.log.Info("no configuration in force", "number", reply.Number)
+		return nil
+	}
 	c.app.log.Info("configuration in force", "number", reply.Number, "author", reply.Author,
 		"at", reply.At.UTC().Format(time.RFC3339), "digest", reply.Digest)
 	return c.app.print(string(reply.Text))
--- a/cli/status.go
+++ b/cli/status.go
@@ -47,7 +47,7 @@
 	_, _ = fmt.Fprintln(table, "INSTANCE\tSERVICE\tDOMAIN\tSTATE\tCONFIG\tLEASE\tSLOTS\tINFLIGHT\tQUEUED\tLIMIT")
 	for _, i := range r.Instances {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\n", i.Instance, i.Service, i.Domain, i.State,
-			i.Config, time.Duration(i.Lease), i.Slots, i.InFlight, i.Queued, i.Limit)
+			i.Config, time.Duration(i.Lease).Round(time.Millisecond), i.Slots, i.InFlight, i.Queued, i.Limit)
 	}
 	_ = table.Flush()
 	return text.String()
