--- a/outcome/ledger.go
+++ b/outcome/ledger.go
@@ -104,9 +104,15 @@
 	g.open(u, since)
 }
 
-// Begin decides on a request. Fresh states that the ID was made for it at ingress
-// and that this is its first forward. After Run, exactly one of Finish and
-// Abandon must follow.
+// Begin decides on a request. Fresh states that the ID was made for it at
+// ingress, that this is its first forward, and that the forward was routed by
+// the epoch at which this daemon owns the unit; a forward that was sent earlier
+// may be late, and a second one may have run at an owner in between. After Run,
+// exactly one of Finish and Abandon must follow.
+//
+// Reject, and a run that was abandoned because the lease is gone, say truthfully
+// that the ID did not run only if the lease was still held after Begin; else the
+// request is to be routed again, or answered "unknown".
 func (l *Ledger) Begin(now time.Time, u Unit, id string, fresh bool) Decision {
 	g := l.lock(u)
 	defer g.mu.Unlock()
--- a/outcome/shard.go
+++ b/outcome/shard.go
@@ -88,8 +88,8 @@
 	if since.IsZero() {
 		return
 	}
-	u.floor = since.Add(s.limits.margin).UnixMilli() + 1
-	u.blind = u.floor + s.limits.retain.Milliseconds()
+	u.taken = since.Add(s.limits.margin).UnixMilli() + 1
+	u.blind = u.taken + s.limits.retain.Milliseconds()
 }
 
 // begin decides on a request and notes that it runs if the verdict is Run.
@@ -113,7 +113,7 @@
 		}
 		return r.replay()
 	}
-	if !fresh && s.doubtful(now, u, d) {
+	if doubtful(now, u, d, fresh) {
 		return unknown(ReasonLoss)
 	}
 	if refusal, ok := s.admit(now, d); !ok {
@@ -127,12 +127,17 @@
 	return Decision{Verdict: Run}
 }
 
-// doubtful tells whether an ID without a record may have run.
-func (s *shard) doubtful(now time.Time, u *unit, d ident) bool {
-	if d.timed {
-		return d.millis() < u.floor
+// doubtful tells whether an ID without a record may have run. A fresh one can't
+// have run at a previous owner, but its record can have been dropped here.
+func doubtful(now time.Time, u *unit, d ident, fresh bool) bool {
+	switch {
+	case !d.timed:
+		return !fresh && now.UnixMilli() < u.blind
+	case fresh:
+		return d.millis() < u.dropped
+	default:
+		return d.millis() < u.floor()
 	}
-	return now.UnixMilli() < u.blind
 }
 
 // admit checks that a record can be made, and makes room for it.
@@ -304,7 +309,7 @@
 // absent answers a request that joined a run whose record has gone since.
 func (s *shard) absent(u *unit, id string) *wire.Response {
 	d, err := parseID(id)
-	if u == nil || err != nil || !d.timed || d.millis() < u.floor {
+	if u == nil || err != nil || !d.timed || d.millis() < u.floor() {
 		return unknown(ReasonLoss).Response
 	}
 	return abandoned()
@@ -346,8 +351,8 @@
 	}
 	u.frozen = true
 	out := wire.Memory{Service: name.Service, Slot: name.Slot, Hot: name.Hot}
-	if u.floor != 0 {
-		out.Since = time.UnixMilli(u.floor)
+	if floor := u.floor(); floor != 0 {
+		out.Since = time.UnixMilli(floor)
 	}
 	s.each(u, func(i index) { out.Records = append(out.Records, s.slab.at(i).export()) })
 	slices.SortStableFunc(out.Records, func(a, b wire.Record) int {
--- a/outcome/unit.go
+++ b/outcome/unit.go
@@ -13,9 +13,11 @@
 type unit struct {
 	// number tells units apart in the keys of records.
 	number uint32
-	// floor is the time in milliseconds before which an ID without a record may
-	// have run.
-	floor int64
+	// taken is the floor that a take-over set, in milliseconds since the Unix
+	// epoch: an ID made before it may have run at the previous owner.
+	taken int64
+	// dropped is the floor above the records that were dropped.
+	dropped int64
 	// blind is the time in milliseconds until which an ID that has no time and no
 	// record may have run.
 	blind   int64
@@ -23,4 +25,8 @@
 	running int
 }
 
-func (u *unit) raise(floor int64) { u.floor = max(u.floor, floor) }
+// raise notes that a record of an ID made before floor may be missing.
+func (u *unit) raise(floor int64) { u.dropped = max(u.dropped, floor) }
+
+// floor is the time before which an ID without a record may have run.
+func (u *unit) floor() int64 { return max(u.taken, u.dropped) }
