--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -151,6 +151,26 @@
 	if !t.decided {
 		return platform.Transaction{}, ErrUndecided
 	}
+	return t.close(closer, closerVersion, heirs, change, reason, t.byVotesAlone())
+}
+
+// Succeed returns the write that closes the holder's row without votes. The
+// closer must have received at the holder's peer address for longer than TTL:
+// answers are sent to that address, so that none has reached the holder since.
+func (t *Takeover) Succeed(
+	closer wire.Member, closerVersion uint64, heirs []wire.Generation, change, reason string,
+) (platform.Transaction, error) {
+	if closer.Instance != t.row.Instance || closer.Peer != t.row.Peer {
+		return platform.Transaction{}, ErrNotOpen
+	}
+	return t.close(closer, closerVersion, heirs, change, reason, true)
+}
+
+// close returns the write of the closed row. Only if the end of the lease is
+// certain without trust in closed witnesses can the row count as a vote.
+func (t *Takeover) close(
+	closer wire.Member, closerVersion uint64, heirs []wire.Generation, change, reason string, certain bool,
+) (platform.Transaction, error) {
 	if closer.State == wire.StateClosed || t.row.State == wire.StateClosed ||
 		closer.Generation == t.row.Generation {
 		return platform.Transaction{}, ErrNotOpen
@@ -160,9 +180,7 @@
 	row.Heirs = slices.Clone(heirs)
 	row.Change = change
 	row.Reason = reason
-	if !t.byVotesAlone() {
-		row.Witnesses = nil
-	}
+	row.Witnesses = t.proof(closer.Generation, certain)
 	value, err := wire.Encode(&row)
 	if err != nil {
 		return platform.Transaction{}, fmt.Errorf("encode closed row: %w", err)
@@ -200,6 +218,20 @@
 	return t.votes(now) >= needed-1
 }
 
+// proof returns the witnesses that the closed row is to name: none if its
+// closing rests on closed witnesses. In place of an empty set, which needed no
+// votes, stands the closer.
+func (t *Takeover) proof(closer wire.Generation, certain bool) []wire.Generation {
+	switch {
+	case !certain:
+		return nil
+	case len(t.row.Witnesses) == 0:
+		return []wire.Generation{closer}
+	default:
+		return t.row.Witnesses
+	}
+}
+
 // byVotesAlone reports whether the votes given in person suffice.
 func (t *Takeover) byVotesAlone() bool {
 	_, needed := Quorum(len(t.voters))
