admission: judge rounds of requests by all that began in them

A round of the first completions favoured short requests: limits settled at 34 where 20 were borne. A round is now the first requests that begin in it, pending ones counted with their age, so that it is also cut short once it is sure to be slow. The baseline takes the upper bound of each bucket's mean, since the lowest of few small buckets lay a fifth too low and held limits down on targets that were not busy.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -6,12 +6,18 @@
 )
 
 const (
-	// bucketSize is the number of samples that close a bucket.
+	// bucketSize is the number of samples that close the first bucket; each
+	// further one takes twice as many, up to bucketMax.
 	bucketSize = 64
+	// bucketMax is the greatest number of samples in a bucket.
+	bucketMax = 512
 	// bucketMin is the number of samples from which a mean is used.
-	bucketMin = 8
+	bucketMin = 16
 	// bucketCount is the number of closed buckets that are kept.
 	bucketCount = 6
+	// confidence is the number of standard errors between a bucket's mean and
+	// what counts as the baseline.
+	confidence = 1.5
 	// bucketTTL is how long a closed bucket counts.
 	bucketTTL = time.Minute
 )
@@ -52,6 +58,15 @@
 	return math.Sqrt(max(variance, 0)) / mean
 }
 
+// upper returns the greatest mean that the samples make likely, so that few
+// samples don't set a standard that chance alone met.
+func (s *sample) upper() float64 {
+	if s.count == 0 {
+		return 0
+	}
+	return s.mean() * (1 + confidence*s.variation()/math.Sqrt(float64(s.count)))
+}
+
 // bucket is a closed sample and when it was closed.
 type bucket struct {
 	sample
@@ -65,6 +80,7 @@
 	open   sample
 	closed [bucketCount]bucket
 	next   int
+	size   int
 	// best is the lowest bucket; it outlives its bucket until another closes.
 	best bucket
 }
@@ -72,14 +88,15 @@
 // Add takes in the latency of a request that began under light load.
 func (b *Baseline) Add(latency time.Duration, now time.Time) {
 	b.open.add(float64(latency))
-	if b.open.count >= bucketSize {
+	if b.open.count >= max(b.size, bucketSize) {
+		b.size = min(2*b.open.count, bucketMax)
 		b.close(now)
 	}
 }
 
 // Mean returns the baseline; zero while too little is known.
 func (b *Baseline) Mean() time.Duration {
-	return time.Duration(b.reference().mean())
+	return time.Duration(b.reference().upper())
 }
 
 // Variation returns the standard deviation of the baseline's latencies as a
@@ -133,7 +150,7 @@
 		if c.count == 0 || now.Sub(c.at) > bucketTTL {
 			continue
 		}
-		if b.best.count == 0 || c.mean() < b.best.mean() {
+		if b.best.count == 0 || c.upper() < b.best.upper() {
 			b.best = *c
 		}
 	}
--- a/admission/core.go
+++ b/admission/core.go
@@ -11,7 +11,10 @@
 	// busyLoad is the reported load from which patient requests stay out.
 	busyLoad = 0.75
 	// weight is the part that one completion has in the mean latency.
-	weight = 1.0 / 16
+	weight = 1.0 / 32
+	// spareSamples is the number of latencies whose mean may be as far off as
+	// the mean latency, with some room.
+	spareSamples = 16
 )
 
 // WithSpare is a functional option that sets the share of the limit up to which
@@ -181,7 +184,7 @@
 		return false
 	}
 	room := int(c.set.spare * float64(c.reserve.Capacity(c.Limit(now), 0, now)))
-	return inFlight < room && c.limiter.Near(time.Duration(c.latency))
+	return inFlight < room && c.limiter.Near(time.Duration(c.latency), spareSamples)
 }
 
 // wait queues a request that can make its deadline.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -10,18 +10,21 @@
 	defaultStart = 2
 	// defaultCeiling is the greatest limit.
 	defaultCeiling = 100
-	// roundMin is the least number of completions in a round.
-	roundMin = 16
-	// nearness is the share over the baseline that still counts as near it,
-	// besides what chance explains.
-	nearness = 1.2
-	// deviations is the number of standard errors that chance is allowed.
-	deviations = 2
+	// nearness is how many times the baseline is near it.
+	nearness = 1.1
+	// chance is the number of standard errors over what is near the baseline at
+	// which a round is slow.
+	chance = 0.5
 	// stepShare is the part of the limit that it grows by, as a divisor.
 	stepShare = 8
-	// patience is the number of rounds in a row that must be slow before a limit
-	// shrinks by a step, or a baseline is given up at the start limit.
+	// patience is the number of slow rounds in a row at the start limit after
+	// which a baseline is given up.
 	patience = 2
+	// cutFactor is how many times what is near the baseline halves the limit.
+	cutFactor = 2.0
+	// coldFactor is how many times what is near the baseline shows that the
+	// target has turned cold.
+	coldFactor = 4.0
 	// validity is how long a limit that is not used is kept.
 	validity = 30 * time.Second
 )
@@ -48,9 +51,12 @@
 // Began is what the Limiter notes when a request starts, to judge its
 // completion.
 type Began struct {
-	epoch uint32
-	full  bool
-	light bool
+	epoch  uint32
+	full   bool
+	light  bool
+	member bool
+	round  uint32
+	offset time.Duration
 }
 
 // Limiter adapts the number of requests that may be in flight at one target to
@@ -67,8 +73,9 @@
 	// before it has had its effect.
 	cut uint32
 
-	round  sample
-	full   int
+	round round
+	// rounds numbers the rounds.
+	rounds uint32
 	failed int
 	slow   int
 
@@ -120,10 +127,20 @@
 // Begin notes that a request starts. inFlight counts it already; full tells
 // whether the target has now all that it may have.
 func (l *Limiter) Begin(inFlight int, full bool, now time.Time) Began {
+	if l.fixed {
+		return Began{}
+	}
 	l.validate(now)
+	if l.round.size == 0 {
+		l.clear(now)
+	}
 	l.peak = max(l.peak, inFlight)
 	light := l.limit <= l.start || l.restore > 0 || inFlight <= l.limit/2
-	return Began{epoch: l.epoch, full: full, light: light}
+	b := Began{epoch: l.epoch, full: full, light: light}
+	b.offset, b.member = l.round.begin(full, now)
+	b.round = l.rounds
+	l.check(now)
+	return b
 }
 
 // End judges a completion.
@@ -131,86 +148,93 @@
 	if l.fixed || b.epoch < l.cut {
 		return
 	}
+	member := b.member && b.round == l.rounds
 	switch c.Result {
 	case Shed:
-		l.halve()
+		l.halve(now)
 		return
 	case Failed:
-		l.failed++
-		if 4*l.failed > l.roundSize() {
-			l.halve()
+		if l.failed++; 4*l.failed > l.roundSize() {
+			l.halve(now)
+			return
+		}
+		if member {
+			l.round.withdraw(b.offset, b.full)
 		}
 		return
 	case Cancelled:
 		// The latency is only a lower bound, so it is evidence only if it is
 		// too long already.
-		if !l.known() || float64(c.Latency) < l.near(1) {
+		if !l.known() || float64(c.Latency) < l.near(1, 1) {
+			if member {
+				l.round.withdraw(b.offset, b.full)
+			}
 			return
 		}
 	case OK:
+		if b.light {
+			l.baseline.Add(c.Latency, now)
+		}
 	}
-	if b.epoch == l.epoch {
-		l.measure(b, c, now)
+	if member {
+		l.round.end(b.offset, c.Latency)
 	}
+	l.check(now)
 }
 
-// measure takes an answer into the round.
-func (l *Limiter) measure(b Began, c Completion, now time.Time) {
-	if b.light && c.Result == OK {
-		l.baseline.Add(c.Latency, now)
-	}
-	l.round.add(float64(c.Latency))
-	if b.full {
-		l.full++
-	}
-	if l.round.count >= l.roundSize() {
-		l.judge(now)
+// check judges the round if it is over, or already sure to be far too slow.
+func (l *Limiter) check(now time.Time) {
+	mean := l.round.mean(now)
+	early := l.round.begun >= roundEarly && l.known() && mean > cutFactor*l.near(l.round.begun, 1)
+	if early || l.round.over() {
+		l.judge(mean, now)
 	}
 }
 
-// Near reports whether a latency is near the baseline, allowing for the chance
-// in a mean of a round's samples.
-func (l *Limiter) Near(latency time.Duration) bool {
-	return !l.known() || float64(latency) <= l.near(l.roundSize())
+// Near reports whether the mean of so many latencies is near the baseline.
+func (l *Limiter) Near(latency time.Duration, samples int) bool {
+	return !l.known() || float64(latency) <= l.near(samples, 1)
 }
 
 func (l *Limiter) known() bool {
 	return l.baseline.Mean() > 0
 }
 
-// near returns the greatest mean of count latencies that is near the baseline.
-func (l *Limiter) near(count int) float64 {
-	chance := deviations * l.baseline.Variation() / math.Sqrt(float64(count))
-	return float64(l.baseline.Mean()) * (nearness + chance)
+// near returns the greatest mean of so many latencies that is near the
+// baseline, with so many standard errors for chance.
+func (l *Limiter) near(samples int, errors float64) float64 {
+	share := errors * l.baseline.Variation() / math.Sqrt(float64(samples))
+	return float64(l.baseline.Mean()) * (nearness + share)
 }
 
 func (l *Limiter) roundSize() int {
-	return max(roundMin, l.limit)
+	if l.restore > 0 {
+		return max(bucketSize, l.limit)
+	}
+	return max(roundMin, 2*l.limit)
 }
 
-// judge ends a round of completions.
-func (l *Limiter) judge(now time.Time) {
-	mean, full := l.round.mean(), 2*l.full >= l.round.count
-	near := l.near(l.round.count)
-	l.clear()
+// judge ends a round with this mean latency.
+func (l *Limiter) judge(mean float64, now time.Time) {
+	crowded := l.round.crowded()
+	near := l.near(l.round.begun, chance)
+	l.clear(now)
 	if l.restore > 0 {
 		l.endProbe(now)
 		return
 	}
 	switch {
 	case !l.known():
-	case mean <= near:
-		l.slow = 0
-		if full {
-			l.grow(now)
-		}
-	case mean > 4*near:
+	case mean > coldFactor*near:
 		l.proven = 0
 		l.slowed(min(l.limit, l.start), now)
-	case mean > 2*near:
-		l.slowed(l.limit*3/4, now)
-	default:
+	case mean > cutFactor*near:
+		l.slowed(l.limit/2, now)
+	case mean > near && crowded:
 		l.slowed(l.limit, now)
+	case mean <= l.near(1, 0) && crowded:
+		l.slow = 0
+		l.grow(now)
 	}
 }
 
@@ -219,11 +243,11 @@
 func (l *Limiter) grow(now time.Time) {
 	if l.baseline.Stale(now) && l.limit > l.start {
 		l.restore = l.limit
-		l.move(max(l.start, l.limit/2))
+		l.move(max(l.start, l.limit/2), now)
 		return
 	}
 	l.proven = max(l.proven, l.limit)
-	l.set(l.limit + Step(l.limit))
+	l.set(l.limit+Step(l.limit), now)
 }
 
 // slowed lowers the limit after a slow round. At the start limit the load can't
@@ -237,14 +261,14 @@
 		}
 		return
 	}
-	if limit == l.limit && l.slow >= patience {
+	if limit == l.limit {
 		limit -= Step(limit)
 	}
 	if l.baseline.Stale(now) {
 		limit = min(limit, l.limit/2)
 	}
 	if limit < l.limit {
-		l.set(max(limit, l.start))
+		l.set(max(limit, l.start), now)
 	}
 }
 
@@ -253,34 +277,35 @@
 	limit := l.restore
 	l.restore = 0
 	l.baseline.Refresh(now)
-	l.move(limit)
+	l.move(limit, now)
 }
 
 // halve answers a target that sheds or fails.
-func (l *Limiter) halve() {
+func (l *Limiter) halve(now time.Time) {
 	l.proven = 0
-	l.set(l.limit / 2)
+	l.set(l.limit/2, now)
 	l.cut = l.epoch
 }
 
 // set begins an epoch with a new limit, within bounds, and gives up a probe.
-func (l *Limiter) set(limit int) {
+func (l *Limiter) set(limit int, now time.Time) {
 	l.restore = 0
-	l.move(min(max(limit, 1), l.ceiling))
+	l.move(min(max(limit, 1), l.ceiling), now)
 }
 
-func (l *Limiter) move(limit int) {
-	l.clear()
+func (l *Limiter) move(limit int, now time.Time) {
 	if limit != l.limit {
 		l.slow = 0
 	}
 	l.limit = limit
 	l.epoch++
+	l.clear(now)
 }
 
-func (l *Limiter) clear() {
-	l.round = sample{}
-	l.full = 0
+// clear begins a round.
+func (l *Limiter) clear(now time.Time) {
+	l.round = newRound(l.roundSize(), now)
+	l.rounds++
 	l.failed = 0
 }
 
@@ -293,7 +318,7 @@
 	if !l.checkedAt.IsZero() && !l.fixed && l.peak < l.limit/2 {
 		used := max(l.peak, l.start)
 		l.proven = min(l.proven, used)
-		l.set(used)
+		l.set(used, now)
 	}
 	l.checkedAt = now
 	l.peak = 0
