Show that marked answers start a cluster and outlive a freeze

With answers only from witnesses whose own lease is valid a new cluster never gets an owner; with marks, two seconds without any traffic in an outage of the table end no generation and the owner goes on without the table. Succeed asks for a valid address, since two rows without one would seem to share it.

--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -99,3 +100,32 @@
 		}
 	}
 }
+
+// TestModelFreeze sees that a moment without any traffic, while the table is
+// down, ends no generation, and that the owner goes on without the table.
+func TestModelFreeze(t *testing.T) {
+	for seed := range int64(3) {
+		w := newWorld(seed, lease.Faults{}, mistakes{}, freeze())
+		lapsed := false
+		w.after(5*time.Second, func() { lapsed = !w.procs[0].owns() })
+		if violation := w.run(brief); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		if !lapsed || !w.procs[0].owns() || w.number != daemons || w.stats.takeovers > 0 {
+			t.Errorf("seed %d: lapsed %v, owns again %v, %d takeovers", seed, lapsed, w.procs[0].owns(), w.stats.takeovers)
+		}
+	}
+}
+
+// TestModelStarts sees that a new set of daemons gets an owner, and that it
+// would get none if only a valid lease let a witness renew others.
+func TestModelStarts(t *testing.T) {
+	for _, validOnly := range []bool{false, true} {
+		w := newWorld(1, lease.Faults{}, mistakes{validOnly: validOnly}, nil)
+		w.chaos = false
+		w.until(faulty)
+		if owned := w.ownedAt > 0; owned == validOnly {
+			t.Errorf("valid leases only: %v, but owned: %v", validOnly, owned)
+		}
+	}
+}
--- a/lease/process_test.go
+++ b/lease/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -64,6 +65,7 @@
 		self: wire.Member{
 			Instance: fmt.Sprint(index), Generation: g,
 			Region: "r", Domain: string("abcab"[index]),
+			Peer: netip.AddrPortFrom(netip.IPv6Loopback(), uint16(index+1)),
 		},
 		members:  make(map[wire.Generation]known),
 		attempts: make(map[wire.Generation]*attempt),
@@ -423,6 +425,9 @@
 		return
 	}
 	supported := p.holder.Supported(now)
+	if p.w.mistakes.validOnly {
+		supported = p.holder.Valid(now)
+	}
 	if answer, ok := p.witness.Answer(now, hb, supported); ok {
 		if !supported {
 			p.w.stats.marked++
--- a/lease/script_test.go
+++ b/lease/script_test.go
@@ -88,3 +88,21 @@
 		faults: func(w *world) { w.setCuts(0, true) },
 	}
 }
+
+// freeze stops all traffic for two seconds in an outage of the table.
+func freeze() *script {
+	return &script{
+		sets: [daemons][]int{{1, 2, 3}, {2, 3, 4}, {1, 3, 4}, {1, 2, 4}, {1, 2, 3}},
+		faults: func(w *world) {
+			w.down = true
+			w.after(500*time.Millisecond, func() { w.cutAll(true) })
+			w.after(2500*time.Millisecond, func() { w.cutAll(false) })
+		},
+	}
+}
+
+func (w *world) cutAll(cut bool) {
+	for i := range w.procs {
+		w.setCuts(i, cut)
+	}
+}
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -160,7 +160,7 @@
 func (t *Takeover) Succeed(
 	closer wire.Member, closerVersion uint64, heirs []wire.Generation, change, reason string,
 ) (platform.Transaction, error) {
-	if closer.Instance != t.row.Instance || closer.Peer != t.row.Peer {
+	if closer.Instance != t.row.Instance || closer.Peer != t.row.Peer || !closer.Peer.IsValid() {
 		return platform.Transaction{}, ErrNotOpen
 	}
 	return t.close(closer, closerVersion, heirs, change, reason, true)
--- a/lease/takeover_test.go
+++ b/lease/takeover_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -136,3 +137,24 @@
 		}
 	}
 }
+
+func TestTakeoverSucceeds(t *testing.T) {
+	here := netip.MustParseAddrPort("127.0.0.1:7000")
+	there := netip.MustParseAddrPort("127.0.0.1:7001")
+	for _, tc := range []struct {
+		name        string
+		old, closer wire.Member
+		ok          bool
+	}{
+		{"same place", wire.Member{Generation: 1, Instance: "a", Peer: here}, wire.Member{Generation: 8, Instance: "a", Peer: here}, true},
+		{"itself", wire.Member{Generation: 1, Instance: "a", Peer: here}, wire.Member{Generation: 1, Instance: "a", Peer: here}, false},
+		{"other address", wire.Member{Generation: 1, Instance: "a", Peer: here}, wire.Member{Generation: 8, Instance: "a", Peer: there}, false},
+		{"other instance", wire.Member{Generation: 1, Instance: "a", Peer: here}, wire.Member{Generation: 8, Instance: "b", Peer: here}, false},
+		{"no address", wire.Member{Generation: 1, Instance: "a"}, wire.Member{Generation: 8, Instance: "a"}, false},
+	} {
+		_, err := lease.NewTakeover(tc.old, 1, start).Succeed(tc.closer, 1, nil, "c", "r")
+		if errors.Is(err, lease.ErrNotOpen) == tc.ok {
+			t.Errorf("%s: error %v", tc.name, err)
+		}
+	}
+}
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -30,6 +30,7 @@
 	cachedCheck bool // the lease isn't checked again before dispatch
 	freeMoves   bool // a move isn't conditional on the mover's own row
 	noMargin    bool
+	validOnly   bool // a witness marks its answers unless its own lease is valid
 	staleSlot   bool // heirs don't read the slot row after the closing
 }
 
