Spare contexts and a goroutine on the path

A forwarded request started a goroutine only to look out for a change of owner, which cannot come before a lease has run out; a timer starts it after 100 ms. A request of the same process no longer gets a second deadline.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -68,7 +68,7 @@
 
 // deployment is a platform and some instances, each a process of its own.
 type deployment struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	store     string
 	platform  *process
@@ -94,7 +94,7 @@
 `
 
 // deploy starts a platform and n instances and applies the configuration.
-func deploy(t *testing.T, n int, checks bool) *deployment {
+func deploy(t testing.TB, n int, checks bool) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), ports: make(map[uint16]bool)}
 	d.store = d.address()
@@ -381,7 +381,7 @@
 }
 
 // until repeats check until it holds; the limit only ends a test that hangs.
-func until(t *testing.T, limit time.Duration, what string, check func() bool) {
+func until(t testing.TB, limit time.Duration, what string, check func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if check() {
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -105,6 +105,10 @@
 
 var errRerouted = errors.New("the key has a new owner")
 
+// watchAfter is how long a request is with its owner before a change of owner is
+// looked out for; a lease outlasts it by far.
+const watchAfter = 100 * time.Millisecond
+
 // sendWatching sends the request to the owner, and gives that up as soon as the
 // key has another owner: the first has then lost its lease.
 func (k *keyed) sendWatching(ctx context.Context, route routes.Route) (*wire.Response, error) {
@@ -113,13 +117,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := make(chan struct{})
-	defer close(stop)
-	go k.watch(route, stop, cancel)
+	watch := time.AfterFunc(watchAfter, func() { k.watch(ctx, route, cancel) })
+	defer watch.Stop()
 	return k.f.send(ctx, route.Owner, k.req)
 }
 
-func (k *keyed) watch(route routes.Route, stop <-chan struct{}, cancel context.CancelCauseFunc) {
+func (k *keyed) watch(ctx context.Context, route routes.Route, cancel context.CancelCauseFunc) {
 	for {
 		snapshot := k.f.own.Standing().Snapshot
 		now, ok := snapshot.Lookup(k.req.Service, k.req.Key)
@@ -130,7 +133,7 @@
 		}
 		select {
 		case <-snapshot.Changed():
-		case <-stop:
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/owner/server.go
+++ b/owner/server.go
@@ -123,7 +123,7 @@
 	if req.Service != standing.Service || !kind.Serves(standing.Domain, standing.Instance) {
 		return wire.Misrouted()
 	}
-	ctx, cancel := context.WithTimeout(ctx, req.Wait)
+	ctx, cancel := within(ctx, req.Wait)
 	defer cancel()
 	if !kind.Keyed() {
 		return s.run(ctx, &job{req: req, kind: kind, lease: context.Background()})
@@ -131,6 +131,15 @@
 	return s.serveKeyed(ctx, req, kind)
 }
 
+// within bounds ctx by the wait of a request. One that comes from this process
+// has its deadline already.
+func within(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, wait)
+}
+
 // serveKeyed enters the unit of the key, waiting while it changes hands.
 func (s *Server) serveKeyed(ctx context.Context, req *wire.Request, kind *config.Kind) *wire.Response {
 	for {
@@ -214,7 +223,7 @@
 	if err != nil {
 		return refusal(err)
 	}
-	run, cancel := context.WithDeadline(runContext(ctx, j.kind), deadline)
+	run, cancel := runContext(ctx, j.kind, deadline)
 	defer cancel()
 	defer context.AfterFunc(j.lease, cancel)()
 	start := time.Now()
@@ -241,11 +250,11 @@
 
 // runContext lets a request that may not be repeated run on when its caller has
 // gone: the answer is kept for when the caller asks again.
-func runContext(ctx context.Context, kind *config.Kind) context.Context {
+func runContext(ctx context.Context, kind *config.Kind, deadline time.Time) (context.Context, context.CancelFunc) {
 	if kind.Repeatable() {
-		return ctx
+		return context.WithCancel(ctx)
 	}
-	return context.WithoutCancel(ctx)
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
 }
 
 func result(r *wire.Response, err error) admission.Result {
