Refuse answers that belong to an earlier request

A property over real connections found that net/http can give a request the answer of the one before: a target that answers twice leaves bytes in the transport's buffer, and the transport drops them only if it looks before the next request is sent. Seen once in about 100 exchanges under -race. The connection now notes whether bytes came from the network since the request was written; an answer that begins without them is crossed and the outcome unknown. Bytes that come before the first write break the connection. What is left open: an answer that the target sends twice, the second after the next request was written; it is found only if the target repeats Idempotency-Key.

--- a/target/client.go
+++ b/target/client.go
@@ -39,7 +39,7 @@
 	errNoTarget = errors.New("no target has announced itself")
 	errCut      = errors.New("answer was cut short")
 	errUnframed = errors.New("answer declares no length")
-	errCrossed  = errors.New("answer names another request ID")
+	errCrossed  = errors.New("answer belongs to another request")
 	errSize     = errors.New("answer is over the limit")
 )
 
@@ -59,6 +59,11 @@
 	retry       time.Duration
 	check       func(Fence) error
 	destination atomic.Pointer[destination]
+
+	// The seams are replaced by tests alone.
+	read   func(resp *http.Response, method string, limit int64) ([]byte, error)
+	sealed func(*attempt) bool
+	admit  func(a *attempt, c *conn, reused bool) bool
 }
 
 // Option configures a Client.
@@ -96,6 +101,9 @@
 		connections: defaultConnections,
 		idle:        defaultIdle,
 		retry:       defaultRetry,
+		read:        readWhole,
+		sealed:      (*attempt).seal,
+		admit:       (*attempt).use,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -159,9 +167,9 @@
 		resp, err := c.send(ctx, newRequest(ctx, r, f, u), a)
 		if err == nil {
 			defer a.seal()
-			return c.receive(ctx, r, d, resp)
+			return c.receive(ctx, r, d, resp, a)
 		}
-		if a.seal() {
+		if c.sealed(a) {
 			return c.unknown(ctx, ReasonLost, err)
 		}
 		if a.refusal != nil {
@@ -225,17 +233,20 @@
 // send makes one round trip in which no byte is sent twice.
 func (c *Client) send(ctx context.Context, req *http.Request, a *attempt) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		tracked, ok := info.Conn.(*conn)
-		if !ok {
-			cancel(errSealed)
-			return
-		}
-		tracked.begin(a)
-		if !a.use(tracked, info.Reused) {
-			cancel(errReplay)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			tracked, ok := info.Conn.(*conn)
+			if !ok {
+				cancel(errSealed)
+				return
+			}
+			tracked.begin(a)
+			if !c.admit(a, tracked, info.Reused) {
+				cancel(errReplay)
+			}
+		},
+		GotFirstResponseByte: a.answer,
+	}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		cancel(nil)
@@ -259,9 +270,13 @@
 }
 
 // receive reads the answer whole, or says why there is none.
-func (c *Client) receive(ctx context.Context, r *wire.Request, d *destination, resp *http.Response) (*wire.Response, error) {
-	data, err := readWhole(resp, r.Method, c.limit)
+func (c *Client) receive(ctx context.Context, r *wire.Request, d *destination, resp *http.Response, a *attempt) (*wire.Response, error) {
+	data, err := c.read(resp, r.Method, c.limit)
 	closeErr := resp.Body.Close()
+	if a.isCrossed() {
+		a.discard()
+		return c.unknown(ctx, ReasonCrossed, errCrossed)
+	}
 	if d.checks && resp.StatusCode == StatusFenced && resp.Header.Get(HeaderFence) != "" {
 		return c.notRun(ReasonFence, fmt.Errorf("target rejected the fence: %s", resp.Header.Get(HeaderFence)))
 	}
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -73,45 +74,79 @@
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+// outcomeCase is an exchange on one connection and what must come of it.
+type outcomeCase struct {
+	name    string
+	script  func(int, net.Conn)
+	outcome wire.Outcome
+	reason  string
+}
+
+var outcomeCases = []outcomeCase{
+	{"whole", answering(whole), wire.OutcomeAnswered, ""},
+	{"whole chunked", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), wire.OutcomeAnswered, ""},
+	{"shed", answering("HTTP/1.1 503 Busy\r\nFulmar-Shed: shed\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, target.ReasonShed},
+	{"after 1xx", answering("HTTP/1.1 103 Early Hints\r\n\r\n" + whole), wire.OutcomeAnswered, ""},
+	{"redirect is not followed", answering("HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
+	{"own ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-1\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeAnswered, ""},
+	{"other ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-2\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCrossed},
+	{"cut by length", answering("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+	{"cut in chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+	{"cut before last chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), wire.OutcomeUnknown, target.ReasonCut},
+	{"no length", answering("HTTP/1.1 200 OK\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
+	{"upgrade", answering("HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"), wire.OutcomeUnknown, target.ReasonCut},
+	{"over the limit", answering("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65)), wire.OutcomeUnknown, target.ReasonSize},
+	{"chunks over the limit", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n"), wire.OutcomeUnknown, target.ReasonSize},
+	{"header cut", answering("HTTP/1.1 200 OK\r\nContent-Le"), wire.OutcomeUnknown, target.ReasonLost},
+	{"closed unanswered", answering(""), wire.OutcomeUnknown, target.ReasonLost},
+	{"half read", func(_ int, c net.Conn) { _, _ = c.Read(make([]byte, 20)); reset(c) }, wire.OutcomeUnknown, target.ReasonLost},
+	{"fence of a target that doesn't check", answering("HTTP/1.1 412 No\r\nFulmar-Fence: epoch\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
+}
+
+// judge makes the exchange and says what is wrong with its result.
+func (tc outcomeCase) judge(t *testing.T, opts ...target.Option) string {
+	t.Helper()
+	client := target.NewClient(append(opts, target.WithLimit(64))...)
+	defer client.Close()
+	client.Use(scripted(t, tc.script), false)
+	resp, err := client.Do(t.Context(), booking(), target.Fence{})
+	if resp.Outcome != tc.outcome || resp.Reason != tc.reason {
+		return fmt.Sprintf("%s: got outcome %d reason %q (%v), want %d %q", tc.name, resp.Outcome, resp.Reason, err, tc.outcome, tc.reason)
+	}
+	if (err == nil) != (tc.outcome == wire.OutcomeAnswered) || err != nil && !errors.Is(err, target.ErrUnknown) {
+		return fmt.Sprintf("%s: error %v doesn't fit the outcome", tc.name, err)
+	}
+	return ""
+}
+
 func TestOutcomes(t *testing.T) {
-	cases := []struct {
-		name    string
-		script  func(int, net.Conn)
-		outcome wire.Outcome
-		reason  string
+	for _, tc := range outcomeCases {
+		if fault := tc.judge(t); fault != "" {
+			t.Error(fault)
+		}
+	}
+}
+
+// TestOutcomeMutations breaks one rule of the client at a time and demands that
+// the cases see it.
+func TestOutcomeMutations(t *testing.T) {
+	mutations := []struct {
+		name   string
+		option target.Option
 	}{
-		{"whole", answering(whole), wire.OutcomeAnswered, ""},
-		{"whole chunked", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), wire.OutcomeAnswered, ""},
-		{"shed", answering("HTTP/1.1 503 Busy\r\nFulmar-Shed: shed\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, target.ReasonShed},
-		{"after 1xx", answering("HTTP/1.1 103 Early Hints\r\n\r\n" + whole), wire.OutcomeAnswered, ""},
-		{"redirect is not followed", answering("HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
-		{"own ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-1\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeAnswered, ""},
-		{"other ID echoed", answering("HTTP/1.1 200 OK\r\nIdempotency-Key: id-2\r\nContent-Length: 2\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCrossed},
-		{"cut by length", answering("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
-		{"cut in chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
-		{"cut before last chunk", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), wire.OutcomeUnknown, target.ReasonCut},
-		{"no length", answering("HTTP/1.1 200 OK\r\n\r\nok"), wire.OutcomeUnknown, target.ReasonCut},
-		{"upgrade", answering("HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"), wire.OutcomeUnknown, target.ReasonCut},
-		{"over the limit", answering("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65)), wire.OutcomeUnknown, target.ReasonSize},
-		{"chunks over the limit", answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n"), wire.OutcomeUnknown, target.ReasonSize},
-		{"header cut", answering("HTTP/1.1 200 OK\r\nContent-Le"), wire.OutcomeUnknown, target.ReasonLost},
-		{"closed unanswered", answering(""), wire.OutcomeUnknown, target.ReasonLost},
-		{"half read", func(_ int, c net.Conn) { _, _ = c.Read(make([]byte, 20)); reset(c) }, wire.OutcomeUnknown, target.ReasonLost},
-		{"fence of a target that doesn't check", answering("HTTP/1.1 412 No\r\nFulmar-Fence: epoch\r\nContent-Length: 0\r\n\r\n"), wire.OutcomeAnswered, ""},
+		{"cut answer as whole", target.WithoutWhole()},
+		{"not run after bytes were written", target.WithoutSeal()},
 	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			client := target.NewClient(target.WithLimit(64))
-			defer client.Close()
-			client.Use(scripted(t, tc.script), false)
-			resp, err := client.Do(t.Context(), booking(), target.Fence{})
-			if resp.Outcome != tc.outcome || resp.Reason != tc.reason {
-				t.Fatalf("got outcome %d reason %q (%v), want %d %q", resp.Outcome, resp.Reason, err, tc.outcome, tc.reason)
-			}
-			if (err == nil) != (tc.outcome == wire.OutcomeAnswered) || err != nil && !errors.Is(err, target.ErrUnknown) {
-				t.Fatalf("error %v doesn't fit the outcome", err)
+	for _, m := range mutations {
+		caught := 0
+		for _, tc := range outcomeCases {
+			if tc.judge(t, m.option) != "" {
+				caught++
 			}
-		})
+		}
+		if caught == 0 {
+			t.Errorf("%s: not caught", m.name)
+		}
 	}
 }
 
--- a/target/conn.go
+++ b/target/conn.go
@@ -9,6 +9,7 @@
 
 var (
 	errSealed = errors.New("the request is over")
+	errEarly  = errors.New("the target answered before it was asked")
 	errReplay = errors.New("the request was sent before on another connection")
 )
 
@@ -27,6 +28,10 @@
 	wrote   bool
 	sealed  bool
 	refusal error
+	// read is true once bytes came from the network after the first write.
+	read bool
+	// crossed is true if the answer began with bytes that came before it.
+	crossed bool
 }
 
 // use notes that the request goes to c. It reports false for a replay.
@@ -77,6 +82,43 @@
 	return a.wrote || a.writing
 }
 
+// receive notes that bytes came from the network. It reports false if nothing
+// has been asked yet.
+func (a *attempt) receive() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.wrote && !a.writing {
+		return false
+	}
+	a.read = true
+	return true
+}
+
+// answer notes that the answer begins. Its first byte was left over from an
+// earlier request if none has come from the network since this one was sent.
+func (a *attempt) answer() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crossed = a.crossed || !a.read
+}
+
+// isCrossed reports whether the answer belongs to an earlier request.
+func (a *attempt) isCrossed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.crossed
+}
+
+// discard closes the connection, on which answers are out of step.
+func (a *attempt) discard() {
+	a.mu.Lock()
+	c := a.conn
+	a.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
 // conn is a connection whose writes belong to one attempt at a time.
 type conn struct {
 	net.Conn
@@ -90,6 +132,19 @@
 	c.attempt = a
 }
 
+// Read refuses what the target sends before the present request went out: it
+// belongs to an earlier one.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	a := c.attempt
+	c.mu.Unlock()
+	if n > 0 && (a == nil || !a.receive()) {
+		return 0, errEarly
+	}
+	return n, err
+}
+
 // Write passes p on while the attempt allows it.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- /dev/null
+++ b/target/export_test.go
@@ -0,0 +1,36 @@
+package target
+
+import (
+	"io"
+	"net/http"
+)
+
+// WithoutWhole is a functional option that passes on whatever came of an answer.
+func WithoutWhole() Option {
+	return func(c *Client) {
+		c.read = func(resp *http.Response, _ string, limit int64) ([]byte, error) {
+			data, _ := io.ReadAll(io.LimitReader(resp.Body, limit))
+			return data, nil
+		}
+	}
+}
+
+// WithoutSeal is a functional option that says of each lost request that nothing
+// was written.
+func WithoutSeal() Option {
+	return func(c *Client) {
+		c.sealed = func(a *attempt) bool { a.seal(); return false }
+	}
+}
+
+// WithReplay is a functional option that lets net/http replay requests.
+func WithReplay() Option {
+	return func(c *Client) {
+		c.admit = func(a *attempt, next *conn, reused bool) bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.conn, a.reused = next, reused
+			return true
+		}
+	}
+}
--- a/target/reason.go
+++ b/target/reason.go
@@ -19,7 +19,7 @@
 	ReasonLost = "lost"
 	// ReasonCut means that the answer ended early or declared no length.
 	ReasonCut = "cut"
-	// ReasonCrossed means that the answer names another request ID.
+	// ReasonCrossed means that the answer belongs to another request.
 	ReasonCrossed = "crossed"
 	// ReasonSize means that the answer is over the limit.
 	ReasonSize = "size"
