--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -123,7 +123,7 @@
 	for _, validOnly := range []bool{false, true} {
 		w := newWorld(1, lease.Faults{}, mistakes{validOnly: validOnly}, nil)
 		w.chaos = false
-		w.until(faulty)
+		w.until(faulty + brief)
 		if owned := w.ownedAt > 0; owned == validOnly {
 			t.Errorf("valid leases only: %v, but owned: %v", validOnly, owned)
 		}
