Set hot keys apart, and let them rejoin their slot

An owner counts a sample of its keys in a table of fixed size. While its target is busy (0.7 of its limit) and one key has a fifth of its requests, it asks three members at random for their load and gives the key to the one with the most room. The key gets an entry of its own in the row of its slot, with the records of the slot, by the hand-over that slots move by. A key that stays cool for 30 s rejoins its slot: the slot's entry gets a later epoch and the transfer under which the key's records came.

Weighed: a row for each hot key. It was left, because the owner of a slot would have to know all such rows to know what it does not own; in the row of the slot both change in one write.

--- /dev/null
+++ b/control/hot.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"fulmarrun/handover"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// hotPatience is how long a change of a hot key waits for a sign of life of the
+// platform.
+const hotPatience = time.Second
+
+// hotChange is a HotFound or HotCooled that waits to be acted on.
+type hotChange struct {
+	message Message
+	since   time.Time
+}
+
+// runHot acts on a change of a hot key as soon as the platform is known to answer.
+func (c *Core) runHot(now time.Time) {
+	if c.hot.message == nil {
+		return
+	}
+	if now.Sub(c.hot.since) > hotPatience {
+		c.hot = hotChange{}
+		return
+	}
+	if !c.storeReady(now) {
+		return
+	}
+	message := c.hot.message
+	c.hot = hotChange{}
+	switch m := message.(type) {
+	case HotFound:
+		c.splitHot(now, m)
+	case HotCooled:
+		c.rejoinHot(now, m)
+	}
+}
+
+// splitHot sets a hot key of an own slot apart and gives it to a member that has
+// less to do.
+func (c *Core) splitHot(now time.Time, m HotFound) {
+	slot, ok := c.hotMoveSlot(now, m.Key)
+	if !ok || !c.ownsSlot(slot) {
+		return
+	}
+	to := c.view.Member(m.To)
+	if to == nil || to.State != wire.StateActive || to.Service != c.self.Service {
+		return
+	}
+	c.emitMove([]handover.Move{{
+		Service: c.self.Service, Slot: slot, Key: m.Key, Split: true, To: m.To,
+	}}, "the key is hot")
+}
+
+// rejoinHot gives an own hot key back to the owner of its slot.
+func (c *Core) rejoinHot(now time.Time, m HotCooled) {
+	slot, ok := c.hotMoveSlot(now, m.Key)
+	if !ok {
+		return
+	}
+	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	entry := row.Slots.Slots[slot-row.First]
+	// Only an owner that the entry itself names can be handed the records.
+	if owner := c.view.Member(entry.Owner); owner == nil || owner.State == wire.StateClosed {
+		return
+	}
+	c.emitMove([]handover.Move{{
+		Service: c.self.Service, Slot: slot, Key: m.Key, Rejoin: true, To: entry.Owner,
+	}}, "the key is no longer hot")
+}
+
+// hotMoveSlot returns the slot of a key; ok is false if no move may start now.
+func (c *Core) hotMoveSlot(now time.Time, key string) (slot uint32, ok bool) {
+	if c.moving || c.writing || c.closing || c.planning || c.leaving != "" || !c.holder.Valid(now) {
+		return 0, false
+	}
+	count := c.view.Snapshot().Count(c.self.Service)
+	if count == 0 {
+		return 0, false
+	}
+	slot = routes.SlotOf(key, count)
+	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	return slot, row != nil
+}
+
+func (c *Core) ownsSlot(slot uint32) bool {
+	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	r := c.view.Resolve(row, row.Slots.Slots[slot-row.First], slot, "")
+	return r.Owner == c.self.Generation
+}
+
+// rejoin puts a key back into its slot. The slot's owner stays, under an epoch
+// that is later than both and under the transfer that its records came with.
+func rejoin(row *wire.Slots, m handover.Move, transfer uint64) bool {
+	at := slices.IndexFunc(row.Hot, func(h wire.HotKey) bool { return h.Key == m.Key })
+	entry := &row.Slots[m.Slot-row.First]
+	if at < 0 || entry.Owner != m.To {
+		return false
+	}
+	entry.Epoch = max(entry.Epoch, row.Hot[at].Epoch) + 1
+	entry.Transfer = transfer
+	row.Hot = slices.Delete(row.Hot, at, at+1)
+	return true
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,7 @@
 	client    *target.Client
 	server    *owner.Server
 	units     *handover.Units
+	hot       *handover.Hot
 	forwarder *forward.Forwarder
 	peers     *peer.Client
 	datagrams *peer.Datagrams
@@ -81,6 +82,8 @@
 	target   announced
 	grants   *target.Grants
 	granted  wire.Generation
+	slots    []target.SlotGrant
+	hotKeys  []target.HotGrant
 	grantNow chan struct{}
 
 	leaveOnce sync.Once
@@ -109,6 +112,7 @@
 		log:      log.New(io.Discard),
 		registry: metrics.NewRegistry(),
 		units:    handover.NewUnits(),
+		hot:      handover.NewHot(),
 		peers:    peer.NewClient(),
 		leave:    make(chan string, 1),
 		grantNow: make(chan struct{}, 1),
@@ -118,7 +122,7 @@
 		opt(d)
 	}
 	d.gate = admission.NewGate(d.admission...)
-	d.server = owner.NewServer(d.gate, d.units)
+	d.server = owner.NewServer(d.gate, d.units, d.hot)
 	d.client = target.NewClient(target.WithCheck(d.server.CheckFence))
 	d.server.SetClient(d.client)
 	d.forwarder = forward.NewForwarder(d.server, d.peers, forward.WithAdmission(d.admission...))
--- /dev/null
+++ b/daemon/hot.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"fulmarrun/control"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	// hotInterval is how often hot keys are looked for.
+	hotInterval = 250 * time.Millisecond
+	// busyFrom is the share of its target's limit from which an owner has so much
+	// to do that a hot key should go elsewhere.
+	busyFrom = 0.7
+	// reliefBy is by how much less of its limit another must be in use.
+	reliefBy = 0.3
+)
+
+// watchHot sets hot keys apart while the target is busy, and has those that have
+// cooled go back.
+func (i *incarnation) watchHot(ctx context.Context) {
+	ticker := time.NewTicker(hotInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if i.d.hot.Turn(time.Now()) {
+			i.judgeHot(ctx)
+		}
+	}
+}
+
+func (i *incarnation) judgeHot(ctx context.Context) {
+	snapshot := i.d.server.Standing().Snapshot
+	var own []string
+	apart := make(map[string]bool)
+	for h := range snapshot.Hot(i.self.Service) {
+		apart[h.Key] = true
+		if h.Owner != nil && h.Owner.Generation == i.self.Generation {
+			own = append(own, h.Key)
+		}
+	}
+	if key, ok := i.d.hot.Cooled(own); ok {
+		i.post(ctx, control.HotCooled{Key: key})
+		return
+	}
+	status := i.d.status()
+	if utilization(&status) < busyFrom {
+		return
+	}
+	hottest, ok := i.d.hot.Hottest(func(key string) bool { return apart[key] })
+	if !ok {
+		return
+	}
+	if to := i.roomier(ctx, snapshot, &status); to != 0 {
+		i.post(ctx, control.HotFound{Key: hottest.Key, To: to})
+	}
+}
+
+// roomier asks two members at random and returns the one that has less to do, if
+// that is much less than here.
+func (i *incarnation) roomier(ctx context.Context, s *routes.Snapshot, own *wire.Status) wire.Generation {
+	members := s.Members(i.self.Service)
+	table := i.d.server.Standing().Table
+	best, least := wire.Generation(0), utilization(own)-reliefBy
+	for _, at := range rand.Perm(len(members))[:min(3, len(members))] {
+		m := members[at]
+		if m.Generation == i.self.Generation || m.State != wire.StateActive || table.Out(m.Domain) {
+			continue
+		}
+		status, err := i.d.statusOf(ctx, m)
+		if err != nil || status.Generation != m.Generation || status.Lease <= 0 {
+			continue
+		}
+		if u := utilization(status); u < least {
+			best, least = m.Generation, u
+		}
+	}
+	return best
+}
+
+// utilization is the share of its limit that a target has to do, queue included.
+func utilization(s *wire.Status) float64 {
+	return float64(s.InFlight+s.Queued) / float64(max(1, s.Limit))
+}
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -93,6 +93,7 @@
 	i.spawn(func(ctx context.Context) {
 		i.load(ctx, func(rows []wire.Row) control.Message { return control.Loaded{Rows: rows, Wall: time.Now()} })
 	})
+	i.spawn(i.watchHot)
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	overdue := newTimer()
@@ -191,8 +192,9 @@
 		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left,
 	})
 	i.drop(lost)
+	slots, hot := i.held.grants(snapshot, i.self.Service)
+	i.d.setGrants(i.self.Generation, slots, hot)
 	if len(gained)+len(lost) > 0 {
-		i.d.setGrants(i.self.Generation, i.held)
 		i.d.log.Info("slots changed", "instance", i.self.Instance, "gained", len(gained), "lost", len(lost), "owned", len(i.held))
 	}
 	i.snapshot = snapshot
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,7 +55,9 @@
 		}
 		now := holding{epoch: e.Epoch, transfer: e.Transfer}
 		present[unit] = now
-		if _, held := h[unit]; !held {
+		// A key that went back to its slot comes with records of its own, under a
+		// transfer that the slot has not had before.
+		if before, held := h[unit]; !held || before.transfer != now.transfer && now.transfer != 0 {
 			gained = append(gained, gain{unit: unit, holding: now})
 		}
 	}
@@ -92,15 +96,25 @@
 	}
 }
 
-// grants returns the lists for a target that checks.
-func (h holdings) grants() (slots []target.SlotGrant, hot []target.HotGrant) {
+// grants returns the lists for a target that checks. A hot key of an own slot
+// that another owns is withheld.
+func (h holdings) grants(s *routes.Snapshot, service string) (slots []target.SlotGrant, hot []target.HotGrant) {
 	for unit, held := range h {
-		if unit.Hot != "" {
-			hot = append(hot, target.HotGrant{Key: unit.Hot, Epoch: held.epoch})
+		if unit.Hot == "" {
+			slots = append(slots, target.SlotGrant{From: unit.Slot, To: unit.Slot, Epoch: held.epoch})
+		}
+	}
+	for e := range s.Hot(service) {
+		if held, own := h[outcome.Unit{Service: service, Hot: e.Key}]; own {
+			hot = append(hot, target.HotGrant{Key: e.Key, Epoch: held.epoch})
 			continue
 		}
-		slots = append(slots, target.SlotGrant{From: unit.Slot, To: unit.Slot, Epoch: held.epoch})
+		if _, own := h[outcome.Unit{Service: service, Slot: e.Slot}]; own {
+			hot = append(hot, target.HotGrant{Key: e.Key})
+		}
 	}
+	slices.SortFunc(slots, func(a, b target.SlotGrant) int { return cmp.Compare(a.From, b.From) })
+	slices.SortFunc(hot, func(a, b target.HotGrant) int { return cmp.Compare(a.Key, b.Key) })
 	return slots, hot
 }
 
@@ -183,8 +197,11 @@
 		memory = wire.Memory{Service: unit.Service, Slot: unit.Slot, Hot: unit.Hot, Since: time.Now()}
 	}
 	memory.Transfer = transfer
-	if move.Split {
+	switch {
+	case move.Split:
 		memory.Slot, memory.Hot = 0, move.Key
+	case move.Rejoin:
+		memory.Slot, memory.Hot = move.Slot, ""
 	}
 	to := i.d.server.Standing().Snapshot.Owner(move.To)
 	if to == nil {
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"fulmarrun/admission"
@@ -63,6 +64,7 @@
 func (d *Daemon) grantsFor(g wire.Generation) *target.Grants {
 	if d.grants == nil || d.granted != g {
 		d.grants, d.granted = target.NewGrants(g), g
+		d.slots, d.hotKeys = nil, nil
 		if d.target.seen {
 			d.grants.Announced(d.target.at, d.target.Stamp)
 		}
@@ -70,12 +72,17 @@
 	return d.grants
 }
 
-// setGrants changes what the target is granted and has that pushed at once.
-func (d *Daemon) setGrants(g wire.Generation, held holdings) {
-	slots, hot := held.grants()
+// setGrants changes what the target is granted, if that is a change, and has it
+// pushed at once.
+func (d *Daemon) setGrants(g wire.Generation, slots []target.SlotGrant, hot []target.HotGrant) {
 	d.targetMu.Lock()
-	d.grantsFor(g).Set(slots, hot)
-	d.targetMu.Unlock()
+	defer d.targetMu.Unlock()
+	grants := d.grantsFor(g)
+	if slices.Equal(slots, d.slots) && slices.Equal(hot, d.hotKeys) {
+		return
+	}
+	d.slots, d.hotKeys = slots, hot
+	grants.Set(slots, hot)
 	select {
 	case d.grantNow <- struct{}{}:
 	default:
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -5,13 +5,17 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 
 	"fulmarrun/caller"
 	"fulmarrun/demo"
+	"fulmarrun/operator"
+	"fulmarrun/targetstub"
 )
 
 func logger() *log.Logger {
@@ -68,3 +72,47 @@
 	})
 	t.Logf("served after %s", time.Since(start))
 }
+
+// TestHotKey loads one key more than its owner's other keys and expects it to be
+// set apart, with no ID run twice on the way.
+func TestHotKey(t *testing.T) {
+	c, err := demo.Start(context.Background(), demo.WithLogger(logger()),
+		demo.WithTarget(targetstub.WithWork(5*time.Millisecond)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	until(t, 20*time.Second, "served", func() bool {
+		return ask(t, c.Nodes[0], http.MethodGet, "/agenda/visits/hot", "").Header.Get(caller.HeaderOutcome) == "answered"
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for w := range 24 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				id := uuid.Must(uuid.NewV7()).String()
+				for range 2 {
+					_ = ask(t, c.Nodes[(w+n)%4], http.MethodPost, "/agenda/visits/hot", id)
+				}
+			}
+		}()
+	}
+	operators := operator.NewClient(c.Nodes[0].Settings.Operator)
+	until(t, 20*time.Second, "the key is apart from its slot", func() bool {
+		reply, err := operators.Key(ctx, operator.KeyRequest{Service: "agenda", Key: "hot"})
+		return err == nil && reply.Hot
+	})
+	cancel()
+	wg.Wait()
+	started := make(map[string]int)
+	for _, n := range c.Nodes {
+		for _, r := range n.Target.Runs().Runs {
+			if started[r.ID] += r.Started; started[r.ID] > 1 {
+				t.Errorf("%s started %d times", r.ID, started[r.ID])
+			}
+		}
+	}
+	t.Logf("%d IDs ran", len(started))
+}
--- /dev/null
+++ b/handover/hot_test.go
@@ -0,0 +1,111 @@
+package handover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarrun/handover"
+)
+
+func TestHot(t *testing.T) {
+	start := time.Unix(1000, 0)
+	// load is requests of one second for a key.
+	type load map[string]int
+	cases := []struct {
+		name  string
+		load  load
+		apart []string
+		want  string
+	}{
+		{"nothing", load{}, nil, ""},
+		{"one key has most", load{"a": 800, "b": 100}, nil, "a"},
+		{"that key is apart already", load{"a": 800, "b": 100}, []string{"a"}, ""},
+		{"the next one is hot too", load{"a": 800, "b": 700}, []string{"a"}, "b"},
+		{"a large share of little", load{"a": 40}, nil, ""},
+		{"a small share of much", load{"a": 400, "b": 390, "c": 380, "d": 370, "e": 360, "f": 350}, nil, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := handover.NewHot()
+			h.Turn(start)
+			for key, n := range c.load {
+				for i := range n {
+					h.Observe(key, uint64(i))
+				}
+			}
+			if !h.Turn(start.Add(time.Second)) {
+				t.Fatal("the window did not end")
+			}
+			got, _ := h.Hottest(func(key string) bool {
+				for _, a := range c.apart {
+					if a == key {
+						return true
+					}
+				}
+				return false
+			})
+			if got.Key != c.want {
+				t.Errorf("hottest %q, want %q", got.Key, c.want)
+			}
+		})
+	}
+}
+
+func TestHotAmongMany(t *testing.T) {
+	h := handover.NewHot()
+	start := time.Unix(1000, 0)
+	h.Turn(start)
+	for i := range 20000 {
+		h.Observe(fmt.Sprint("rare-", i), 0)
+		if i%3 == 0 {
+			h.Observe("hot", 0)
+		}
+	}
+	h.Turn(start.Add(time.Second))
+	if got, _ := h.Hottest(func(string) bool { return false }); got.Key != "hot" {
+		t.Errorf("hottest %+v", got)
+	}
+}
+
+func TestHotCools(t *testing.T) {
+	h := handover.NewHot()
+	now := time.Unix(1000, 0)
+	h.Turn(now)
+	window := func(requests int) (string, bool) {
+		for i := range requests {
+			h.Observe("a", uint64(i))
+		}
+		now = now.Add(time.Second)
+		h.Turn(now)
+		return h.Cooled([]string{"a"})
+	}
+	for range 20 {
+		window(0)
+	}
+	if _, ok := window(800); ok {
+		t.Error("a hot key counted as cool")
+	}
+	for range 29 {
+		if _, ok := window(0); ok {
+			t.Fatal("counted as cool too early")
+		}
+	}
+	if key, ok := window(0); !ok || key != "a" {
+		t.Error("not counted as cool in the end")
+	}
+}
+
+func BenchmarkHotObserve(b *testing.B) {
+	h := handover.NewHot()
+	keys := make([]string, 1000)
+	for i := range keys {
+		keys[i] = fmt.Sprint("key-", i)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		h.Observe(keys[i%len(keys)], uint64(i))
+		i++
+	}
+}
--- a/owner/doc.go
+++ b/owner/doc.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	server := owner.NewServer(gate, units)
+//	server := owner.NewServer(gate, units, hot)
 //	server.Publish(&owner.Standing{Generation: g, Snapshot: snapshot, Table: table})
 //	server.SetLease(until)
 //	response := server.Serve(ctx, request)
--- a/owner/server.go
+++ b/owner/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +28,6 @@
 	// could wait.
 	ReasonMoving = "moving"
 
-	// grantPause is how long a target that rejects a fence is left alone.
-	grantPause = 20 * time.Millisecond
 	// leaseRetry is when to come back to an owner without a lease: a take-over
 	// is over by then.
 	leaseRetry = time.Second
@@ -42,6 +41,7 @@
 	gate   *admission.Gate
 	client *target.Client
 	units  *handover.Units
+	hot    *handover.Hot
 
 	ledger atomic.Pointer[outcome.Ledger]
 
@@ -51,8 +51,8 @@
 }
 
 // NewServer returns a server that refuses everything until Publish.
-func NewServer(gate *admission.Gate, units *handover.Units) *Server {
-	s := &Server{gate: gate, units: units, lease: newLeaseClock()}
+func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.Hot) *Server {
+	s := &Server{gate: gate, units: units, hot: hot, lease: newLeaseClock()}
 	s.standing.Store(&Standing{})
 	return s
 }
@@ -191,6 +191,7 @@
 func (s *Server) serveUnit(ctx context.Context, req *wire.Request, kind *config.Kind,
 	unit outcome.Unit, route routes.Route,
 ) *wire.Response {
+	s.hot.Observe(req.Key, rand.Uint64())
 	j := &job{
 		req: req, kind: kind, unit: unit, lease: s.lease.context.Load().ctx,
 		fence: target.Fence{
@@ -233,19 +234,13 @@
 }
 
 // dispatch hands the request to the target. A target that has not been granted
-// the slot yet rejects it, and is asked again while time allows.
+// the slot yet, or knows a later epoch, rejects it; it is then routed again.
 func (s *Server) dispatch(ctx context.Context, j *job) (*wire.Response, error) {
-	for {
-		response, err := s.client.Do(ctx, j.req, j.fence)
-		if response.Outcome != wire.OutcomeNotRun || response.Reason != target.ReasonFence || !s.lease.valid() {
-			return response, err
-		}
-		select {
-		case <-time.After(grantPause):
-		case <-ctx.Done():
-			return response, err
-		}
+	response, err := s.client.Do(ctx, j.req, j.fence)
+	if response.Outcome == wire.OutcomeNotRun && response.Reason == target.ReasonFence {
+		response.Moved = true
 	}
+	return response, err
 }
 
 // runContext lets a request that may not be repeated run on when its caller has
