Say not run only where an owner's memory vouches for it

Causes, from the exploration of the memory of request IDs and from reading: - A frame marked fresh that arrives after its receiver took the unit over would run an ID that its second forward had run. Fresh now holds only for a frame that was routed by the epoch at which the receiver owns the unit. - An owner whose lease is gone cannot know what its successor has run. A refusal counts only if the lease still holds after it was decided; otherwise the request is routed again, and those who joined its run are told unknown. - An ingress that reached no owner knows nothing of an earlier request with the same ID. For an ID of the caller's own and a kind that may not be repeated it now says unknown, with the time to come back. IDs made at ingress are refused as not run, as before. - A hand-over of a unit without memory invented one; it is given up instead. - An applied file that is repeated with its change ID was checked against the slots in force before the ID was looked up.

Retention and skew of the configuration now reach the memory.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -62,7 +62,7 @@
 
 func status(r *wire.Response) int {
 	switch {
-	case r.Outcome == wire.OutcomeNotRun && r.Status != 0:
+	case r.Status >= http.StatusBadRequest:
 		return int(r.Status)
 	case r.Outcome == wire.OutcomeNotRun:
 		return http.StatusServiceUnavailable
--- a/config/service.go
+++ b/config/service.go
@@ -6,7 +6,7 @@
 const DefaultRetain = 10 * time.Minute
 
 // DefaultSkew is the margin for differing clocks if the file does not say.
-const DefaultSkew = 500 * time.Millisecond
+const DefaultSkew = 250 * time.Millisecond
 
 // DefaultCeiling is the bound of requests in flight at one target if the file
 // does not say.
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -168,6 +168,17 @@
 	return out
 }
 
+// remember applies what the configuration says of request IDs.
+func (i *incarnation) remember() {
+	table := i.d.table.Load()
+	if table == nil {
+		return
+	}
+	if s, ok := table.Service(i.self.Service); ok {
+		i.ledger.Configure(s.Retain, s.Skew)
+	}
+}
+
 // configure puts a configuration in force here, never one with a lower number.
 func (i *incarnation) configure(m configMessage) {
 	if old := i.d.table.Load(); old != nil && old.Number() >= m.Number {
@@ -175,5 +186,6 @@
 	}
 	i.d.table.Store(m.table)
 	i.d.configs.enforce(m.current, m.text)
+	i.remember()
 	i.d.log.Info("configuration in force", "instance", i.self.Instance, "number", m.Number, "author", m.current.Author)
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,12 +56,9 @@
 }
 
 func (d *Daemon) apply(ctx context.Context, req operator.ApplyRequest) (operator.ApplyReply, error) {
-	file, err := config.Parse("file", req.Text)
-	if err != nil {
-		return operator.ApplyReply{}, invalid(err)
-	}
-	if err := d.compatible(file); err != nil {
-		return operator.ApplyReply{}, err
+	// A repetition is answered as the first time, whatever is in force by now.
+	if _, err := config.Parse("file", req.Text, config.WithSlots(d.slotsOf)); err != nil && !d.accepted(req.Change) {
+		return operator.ApplyReply{}, fmt.Errorf("check file: %w", err)
 	}
 	reply, err := d.applier.Apply(ctx, req, config.Split(req.Text))
 	if err != nil {
@@ -72,35 +70,15 @@
 	return reply, nil
 }
 
-// compatible refuses a change of what must not change once a service has run.
-func (d *Daemon) compatible(file *config.File) error {
-	snapshot := d.server.Standing().Snapshot
-	for _, s := range file.Services {
-		count := int(snapshot.Count(s.Name))
-		if count == 0 || count == s.Slots {
-			continue
-		}
-		return &operator.InvalidError{Problems: []operator.Problem{{
-			File: "file", Line: 1, Column: 1,
-			Want: fmt.Sprintf("slots %d for service %s, which must not change", count, s.Name),
-			Got:  fmt.Sprint(s.Slots),
-		}}}
-	}
-	return nil
+// slotsOf returns the number of slots that a service has; zero if it has not run.
+func (d *Daemon) slotsOf(service string) int {
+	return int(d.server.Standing().Snapshot.Count(service))
 }
 
-func invalid(err error) error {
-	var bad *config.InvalidError
-	if !errors.As(err, &bad) {
-		return err
-	}
-	out := &operator.InvalidError{}
-	for _, p := range bad.Problems {
-		out.Problems = append(out.Problems, operator.Problem{
-			File: p.File, Line: p.Line, Column: p.Column, Want: p.Want, Got: p.Got,
-		})
-	}
-	return out
+// accepted tells whether a change is known to have been accepted.
+func (d *Daemon) accepted(change string) bool {
+	current, _ := d.configs.shown()
+	return slices.ContainsFunc(current.Recent, func(a wire.Accepted) bool { return a.Change == change })
 }
 
 // refresh reads the configuration row, so that an accepted file spreads from
@@ -213,6 +191,7 @@
 	}
 	if route.Owner != nil {
 		out.Instance, out.Generation, out.Domain = route.Owner.Instance, route.Owner.Generation, route.Owner.Domain
+		out.Caller = route.Owner.Caller
 	}
 	return out, nil
 }
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fulmarrun/control"
 	"fulmarrun/handover"
 	"fulmarrun/outcome"
@@ -172,6 +175,9 @@
 	return held.Memory, true
 }
 
+// errNotOpen is returned for a unit that this generation does not own.
+var errNotOpen = errors.New("not owned here")
+
 // prepareMove empties the slots of a move and hands their records over.
 func (i *incarnation) prepareMove(ctx context.Context, m control.Move) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
@@ -190,11 +196,11 @@
 func (i *incarnation) prepareUnit(ctx context.Context, transfer uint64, move handover.Move) error {
 	unit := unitOf(move)
 	if err := i.d.units.Freeze(ctx, unit); err != nil {
-		return err
+		return fmt.Errorf("empty unit: %w", err)
 	}
 	memory, ok := i.ledger.Export(unit)
 	if !ok {
-		memory = wire.Memory{Service: unit.Service, Slot: unit.Slot, Hot: unit.Hot, Since: time.Now()}
+		return fmt.Errorf("unit %v: %w", unit, errNotOpen)
 	}
 	memory.Transfer = transfer
 	switch {
@@ -212,7 +218,7 @@
 		n := min(len(records), recordsPerFrame)
 		memory.Records, records = records[:n], records[n:]
 		if _, err := peer.Call[wire.Ack](ctx, i.d.peers, to.Peer, peer.KindMemory, &memory); err != nil {
-			return err
+			return fmt.Errorf("hand records over: %w", err)
 		}
 	}
 	return nil
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -101,9 +101,11 @@
 	return f.budget.Retry(time.Now())
 }
 
-// send hands the request to one daemon with what is left of its wait.
-func (f *Forwarder) send(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
+// send hands the request to one daemon with what is left of its wait. The epoch is
+// that of the route; zero if the request is not keyed.
+func (f *Forwarder) send(ctx context.Context, to *routes.Owner, epoch uint64, req *wire.Request) (*wire.Response, error) {
 	try := *req
+	try.Epoch = epoch
 	if deadline, ok := ctx.Deadline(); ok {
 		try.Wait = time.Until(deadline)
 	}
@@ -120,10 +122,17 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		reason = ReasonCancelled
 	}
+	return refuse(reason, begun)
+}
+
+// refuse returns the final answer to a request that nobody answered; begun tells
+// whether it may have run.
+func refuse(reason string, begun bool) *wire.Response {
+	r := wire.Refuse(reason, ownerRetry)
 	if begun {
-		return wire.Unsure(reason)
+		r.Outcome = wire.OutcomeUnknown
 	}
-	return wire.Refuse(reason, ownerRetry)
+	return r
 }
 
 // rest waits until the routes change, the pause is over or ctx ends.
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -17,8 +17,11 @@
 	f    *Forwarder
 	kind *config.Kind
 	req  *wire.Request
-	// begun is true once a try may have reached a target.
-	begun bool
+	// asked is true for an ID of the caller's own, which may have run in an
+	// earlier request: only the owner can say that it did not.
+	asked bool
+	// lost is true once a try ended without an answer.
+	lost bool
 	// ownerless is since when nobody has owned the key.
 	ownerless time.Time
 }
@@ -26,10 +29,10 @@
 // routeKeyed brings a request to the owner of its key, whoever that is by the
 // time.
 func (f *Forwarder) routeKeyed(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
-	k := &keyed{f: f, kind: kind, req: req}
+	k := &keyed{f: f, kind: kind, req: req, asked: !kind.Repeatable() && !req.Fresh}
 	for {
 		if ctx.Err() != nil {
-			return ended(ctx, k.begun)
+			return ended(ctx, k.asked || k.lost)
 		}
 		snapshot := f.own.Standing().Snapshot
 		route, _ := snapshot.Lookup(req.Service, req.Key)
@@ -55,10 +58,7 @@
 	}
 	left := ownerPatience - now.Sub(k.ownerless)
 	if left <= 0 {
-		if k.begun {
-			return wire.Unsure(ReasonOwner)
-		}
-		return wire.Refuse(ReasonOwner, ownerRetry)
+		return refuse(ReasonOwner, k.asked || k.lost)
 	}
 	rest(ctx, snapshot, left)
 	return nil
@@ -78,7 +78,7 @@
 		rest(ctx, snapshot, pause)
 		return nil
 	}
-	k.begun = true
+	k.lost = true
 	k.req.Fresh = false
 	if ctx.Err() != nil {
 		return ended(ctx, true)
@@ -86,7 +86,7 @@
 	// A request that may not be repeated is known to the owner by its ID, also
 	// to the next owner, so that asking again runs nothing twice.
 	if k.kind.Repeatable() && !k.f.mayRetry() {
-		return wire.Unsure(ReasonLost)
+		return refuse(ReasonLost, true)
 	}
 	if !errors.Is(err, errRerouted) {
 		rest(ctx, snapshot, pause)
@@ -94,10 +94,10 @@
 	return nil
 }
 
-// final keeps a refusal truthful: after a try that may have run, a refusal of a
-// later one says nothing about the first.
+// final keeps a refusal truthful: it says nothing about an earlier try that is
+// still on its way.
 func (k *keyed) final(r *wire.Response) *wire.Response {
-	if r.Outcome == wire.OutcomeNotRun && k.begun {
+	if r.Outcome == wire.OutcomeNotRun && k.lost {
 		r.Outcome = wire.OutcomeUnknown
 	}
 	return r
@@ -113,13 +113,13 @@
 // key has another owner: the first has then lost its lease.
 func (k *keyed) sendWatching(ctx context.Context, route routes.Route) (*wire.Response, error) {
 	if route.Owner.Generation == k.f.own.Standing().Generation {
-		return k.f.send(ctx, route.Owner, k.req)
+		return k.f.send(ctx, route.Owner, route.Epoch, k.req)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := time.AfterFunc(watchAfter, func() { k.watch(ctx, route, cancel) })
 	defer watch.Stop()
-	return k.f.send(ctx, route.Owner, k.req)
+	return k.f.send(ctx, route.Owner, route.Epoch, k.req)
 }
 
 func (k *keyed) watch(ctx context.Context, route routes.Route, cancel context.CancelCauseFunc) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -140,7 +140,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ended(ctx, true)
+			return ended(ctx, u.begun || u.running > 0)
 		case <-hedge:
 			hedge = nil
 			if f.mayRetry() {
@@ -169,7 +169,7 @@
 	u.pool.start(to.Generation)
 	go func() {
 		began := time.Now()
-		response, err := u.f.send(ctx, to, u.req)
+		response, err := u.f.send(ctx, to, 0, u.req)
 		u.pool.done(to.Generation, time.Since(began), response, err)
 		u.ends <- attempt{response: response, err: err}
 	}()
--- a/outcome/ledger.go
+++ b/outcome/ledger.go
@@ -83,11 +83,24 @@
 		opt(l)
 	}
 	for i := range l.shards {
-		l.shards[i].shard = newShard(&l.limits, &l.usage, int(l.limits.records/shards))
+		l.shards[i].shard = newShard(l.limits, &l.usage, int(l.limits.records/shards))
 	}
 	return l
 }
 
+// Configure changes how long records are kept and the bound of the difference
+// between clocks. The margin after a take-over only grows, since a lower bound is
+// not in force at every daemon at the same moment.
+func (l *Ledger) Configure(retain, skew time.Duration) {
+	for i := range l.shards {
+		g := &l.shards[i]
+		g.mu.Lock()
+		g.limits.retain, g.limits.skew = retain, skew
+		g.limits.margin = max(g.limits.margin, 2*skew)
+		g.mu.Unlock()
+	}
+}
+
 // lock returns the locked shard of a unit.
 func (l *Ledger) lock(u Unit) *guarded {
 	g := &l.shards[maphash.Comparable(l.seed, u)%shards]
--- a/outcome/shard.go
+++ b/outcome/shard.go
@@ -36,7 +36,7 @@
 
 // shard holds some units and their records. It reads no clock and never waits.
 type shard struct {
-	limits *limits
+	limits limits
 	usage  *usage
 	// share is the number of records that this shard may always hold.
 	share  int
@@ -52,7 +52,7 @@
 	timed, timeless list
 }
 
-func newShard(l *limits, u *usage, share int) *shard {
+func newShard(l limits, u *usage, share int) *shard {
 	return &shard{
 		limits:  l,
 		usage:   u,
--- a/owner/once.go
+++ b/owner/once.go
@@ -12,7 +12,10 @@
 // before.
 func (s *Server) runOnce(ctx context.Context, j *job) *wire.Response {
 	ledger := s.ledger.Load()
-	decision := ledger.Begin(time.Now(), j.unit, j.req.ID, j.req.Fresh)
+	// A frame that was sent before the unit changed hands may arrive after a
+	// second one has run, so that it is not fresh here.
+	fresh := j.req.Fresh && j.req.Epoch == j.fence.Epoch
+	decision := ledger.Begin(time.Now(), j.unit, j.req.ID, fresh)
 	switch decision.Verdict {
 	case outcome.Run:
 		return s.runRecorded(ctx, j, ledger)
@@ -37,6 +40,9 @@
 		}
 	}()
 	response := s.run(ctx, j)
+	if response.Outcome == wire.OutcomeNotRun && !s.lease.valid() {
+		return s.confirm(response)
+	}
 	ledger.Finish(j.unit, j.req.ID, response)
 	done = true
 	return response
--- a/owner/server.go
+++ b/owner/server.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// ReasonLease says that the owner holds no lease at the moment.
-	ReasonLease = "lease"
 	// ReasonKind says that this daemon's configuration has no such kind.
 	ReasonKind = "kind"
 	// ReasonTimeout says that the wait of the kind ran out.
@@ -149,7 +147,7 @@
 			return wire.Misrouted()
 		}
 		if !s.lease.valid() {
-			return wire.Refuse(ReasonLease, leaseRetry)
+			return wire.Misrouted()
 		}
 		unit := unitOf(req, route)
 		wait := s.units.Enter(unit)
@@ -159,16 +157,36 @@
 				continue
 			}
 			defer s.units.Leave(unit)
-			return s.serveUnit(ctx, req, kind, unit, route)
+			return s.confirm(s.serveUnit(ctx, req, kind, unit, route))
 		}
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return wire.Refuse(ReasonMoving, leaseRetry)
+			return unheard(req, kind, ReasonMoving)
 		}
 	}
 }
 
+// unheard returns the answer to a request whose try did not run and that no
+// owner's memory has been asked about. An ID of the caller's own may have run in
+// an earlier try, so that only the owner can say that it did not.
+func unheard(req *wire.Request, kind *config.Kind, reason string) *wire.Response {
+	r := wire.Refuse(reason, leaseRetry)
+	if !kind.Repeatable() && !req.Fresh {
+		r.Outcome = wire.OutcomeUnknown
+	}
+	return r
+}
+
+// confirm keeps a refusal only if the lease still holds after it was decided: an
+// owner without a lease cannot know what its successor has run.
+func (s *Server) confirm(r *wire.Response) *wire.Response {
+	if r.Outcome == wire.OutcomeNotRun && !s.lease.valid() {
+		return wire.Misrouted()
+	}
+	return r
+}
+
 func owns(standing *Standing, route routes.Route, ok bool) bool {
 	return ok && !standing.Closing && route.Owner != nil && route.Owner.Generation == standing.Generation
 }
--- a/routes/snapshot.go
+++ b/routes/snapshot.go
@@ -17,6 +17,7 @@
 	Service    string
 	Domain     string
 	Peer       netip.AddrPort
+	Caller     netip.AddrPort
 	State      wire.State
 }
 
@@ -42,6 +43,8 @@
 	hot   map[string]place
 	// members are those of the service that are not closed, by generation.
 	members []*Owner
+	// gaps is true if a slot or hot key leads to rows that are not known here.
+	gaps bool
 }
 
 // Holding is a slot, or a hot key, with its route.
@@ -61,6 +64,8 @@
 	services map[string]*table
 	owners   map[wire.Generation]*Owner
 	changed  chan struct{}
+	// changes is the view's count of changes of members.
+	changes uint64
 }
 
 func newSnapshot() *Snapshot {
@@ -110,6 +115,21 @@
 				return
 			}
 		}
+		for h := range s.Hot(service) {
+			if !yield(h) {
+				return
+			}
+		}
+	}
+}
+
+// Hot calls yield for each hot key of a service.
+func (s *Snapshot) Hot(service string) iter.Seq[Holding] {
+	return func(yield func(Holding) bool) {
+		t := s.services[service]
+		if t == nil {
+			return
+		}
 		for key, p := range t.hot {
 			slot := SlotOf(key, uint32(len(t.slots)))
 			if !yield(Holding{Slot: slot, Key: key, Owner: p.owner, Epoch: p.epoch, Transfer: p.transfer}) {
@@ -119,6 +139,13 @@
 	}
 }
 
+// Gaps tells whether a slot or hot key of a service leads to rows that are not
+// known here.
+func (s *Snapshot) Gaps(service string) bool {
+	t := s.services[service]
+	return t != nil && t.gaps
+}
+
 // Services returns the names of all services that have rows.
 func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
 
@@ -147,15 +174,11 @@
 		return v.snapshot
 	}
 	next := newSnapshot()
-	for _, m := range v.Members() {
-		if m.State != wire.StateClosed {
-			next.owners[m.Generation] = v.owner(m)
-		}
-	}
+	next.owners, next.changes = v.owners(), v.changes
 	for name, s := range v.services {
 		old := v.snapshot.services[name]
 		if s.dirty || old == nil {
-			next.services[name] = v.resolveService(name, s, next.owners)
+			next.services[name] = v.resolveService(s, next.owners)
 			s.dirty = false
 			continue
 		}
@@ -165,25 +188,42 @@
 	return next
 }
 
+// owners returns the open members; the map of the snapshot before if none has
+// changed since.
+func (v *View) owners() map[wire.Generation]*Owner {
+	if v.snapshot.changes == v.changes {
+		return v.snapshot.owners
+	}
+	owners := make(map[wire.Generation]*Owner, len(v.snapshot.owners)+1)
+	for _, m := range v.ordered {
+		if isOpen(m) {
+			owners[m.Generation] = v.owner(m)
+		}
+	}
+	return owners
+}
+
+func ownerOf(m *MemberRow) Owner {
+	return Owner{
+		Generation: m.Generation, Instance: m.Instance, Service: m.Service, Domain: m.Domain,
+		Peer: m.Peer, Caller: m.Caller, State: m.State,
+	}
+}
+
 // owner reuses the record of the snapshot before, so that tables which did not
 // change go on sharing it.
 func (v *View) owner(m *MemberRow) *Owner {
-	fresh := Owner{
-		Generation: m.Generation, Instance: m.Instance, Service: m.Service, Domain: m.Domain,
-		Peer: m.Peer, State: m.State,
-	}
+	fresh := ownerOf(m)
 	if old := v.snapshot.owners[m.Generation]; old != nil && *old == fresh {
 		return old
 	}
 	return &fresh
 }
 
-func (v *View) resolveService(name string, s *service, owners map[wire.Generation]*Owner) *table {
+func (v *View) resolveService(s *service, owners map[wire.Generation]*Owner) *table {
 	t := &table{}
-	for _, m := range v.Members() {
-		if m.Service == name && m.State != wire.StateClosed {
-			t.members = append(t.members, owners[m.Generation])
-		}
+	for _, m := range s.open {
+		t.members = append(t.members, owners[m.Generation])
 	}
 	// The first row is written before all others and fixes the number of slots.
 	if s.rows[0] == nil {
@@ -198,12 +238,14 @@
 			}
 			r := v.Resolve(row, entry, slot, "")
 			t.slots[slot] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer, free: r.Free()}
+			t.gaps = t.gaps || !r.Known
 		}
 		for _, h := range row.Hot {
 			r := v.Resolve(row, h.Slot, 0, h.Key)
 			if t.hot == nil {
 				t.hot = make(map[string]place)
 			}
+			t.gaps = t.gaps || !r.Known
 			t.hot[h.Key] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer}
 		}
 	}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -47,8 +47,11 @@
 	// ID is the idempotency key, from the caller or made at ingress.
 	ID string
 	// Fresh is true if ID was made at ingress and this is its first forward, so
-	// that no other attempt with this ID can exist.
+	// that no other attempt with this ID can exist. It holds only for a receiver
+	// that owns the key at Epoch.
 	Fresh bool
+	// Epoch is that of the route by which the request was sent.
+	Epoch uint64
 	// Wait is what is left of the time the caller may be kept waiting.
 	Wait time.Duration
 	// Depth counts the nested calls above this one.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -1251,13 +1251,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Kind)
 	o = msgp.AppendString(o, z.Key)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendBool(o, z.Fresh)
+	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendDuration(o, z.Wait)
 	o = msgp.AppendUint8(o, z.Depth)
 	o = msgp.AppendString(o, z.Method)
@@ -1281,8 +1282,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -1310,6 +1311,11 @@
 		err = msgp.WrapError(err, "Fresh")
 		return
 	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	z.Wait, bts, err = msgp.ReadDurationBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Wait")
@@ -1374,7 +1380,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize + msgp.DurationSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Path) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize + msgp.Uint64Size + msgp.DurationSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Path) + msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
