Measure losses with processes, and compare answers with runs

Targets append each run to a file as it starts, so that the runs of a target that is killed are known.

Reading a target's runs just before its kill was weighed: it misses what starts in between.

--- a/cmd/fulmarstub/main.go
+++ b/cmd/fulmarstub/main.go
@@ -54,6 +54,7 @@
 	Checks   bool          `long:"checks" description:"Check grants"`
 	Work     time.Duration `long:"work" description:"How long a request takes"`
 	Capacity int           `long:"capacity" default:"20" description:"Requests that it bears at once"`
+	Journal  string        `long:"journal" value-name:"FILE" description:"File to append each run to"`
 	ctx      context.Context
 }
 
@@ -66,6 +67,14 @@
 	if c.Checks {
 		opts = append(opts, targetstub.WithChecks())
 	}
+	if c.Journal != "" {
+		journal, err := os.OpenFile(c.Journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("open journal: %w", err)
+		}
+		defer func() { _ = journal.Close() }()
+		opts = append(opts, targetstub.WithJournal(journal))
+	}
 	if err := targetstub.NewStub(opts...).Run(c.ctx); err != nil && c.ctx.Err() == nil {
 		return fmt.Errorf("run target: %w", err)
 	}
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -56,11 +56,13 @@
 type instance struct {
 	name     string
 	domain   string
+	peer     string
 	caller   string
 	operator string
 	target   string
 	announce string
 	settings string
+	journal  string
 	checks   bool
 	daemon   *process
 	stub     *process
@@ -74,6 +76,8 @@
 	platform  *process
 	instances []*instance
 	file      string
+	// trace, if there is one, takes down each request and its runs.
+	trace *trace
 
 	mu    sync.Mutex
 	ports map[uint16]bool
@@ -96,7 +100,18 @@
 // deploy starts a platform and n instances and applies the configuration.
 func deploy(t testing.TB, n int, checks bool) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), ports: make(map[uint16]bool)}
+	return deployWith(t, n, checks, nil)
+}
+
+// deployTraced is deploy, with all requests and runs taken down.
+func deployTraced(t testing.TB, n int, checks bool) *deployment {
+	t.Helper()
+	return deployWith(t, n, checks, &trace{})
+}
+
+func deployWith(t testing.TB, n int, checks bool, tr *trace) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), ports: make(map[uint16]bool), trace: tr}
 	d.store = d.address()
 	d.platform = d.start("fulmarstub", "platform", "--listen", d.store)
 	t.Cleanup(d.stop)
@@ -154,15 +169,16 @@
 	i := &instance{
 		name:   fmt.Sprintf("agenda-%d", index+1),
 		domain: []string{"sanjose", "heredia", "cartago"}[index%3],
-		caller: d.address(), operator: d.address(), target: d.address(), announce: d.address(),
+		peer:   d.address(), caller: d.address(), operator: d.address(), target: d.address(), announce: d.address(),
 		checks: checks,
 	}
 	i.settings = filepath.Join(d.dir, i.name+".json")
+	i.journal = filepath.Join(d.dir, i.name+".runs")
 	d.write(i.settings, fmt.Sprintf(`{
   "instance": %q, "service": "agenda", "region": "valle-central", "domain": %q,
   "peer": %q, "caller": %q, "target": %q, "operator": %q, "platform": %q,
   "drain": "10s", "log": "info",
-}`, i.name, i.domain, d.address(), i.caller, i.announce, i.operator, d.store))
+}`, i.name, i.domain, i.peer, i.caller, i.announce, i.operator, d.store))
 	d.instances = append(d.instances, i)
 	d.launch(i)
 	return i
@@ -172,7 +188,12 @@
 func (d *deployment) launch(i *instance) {
 	d.t.Helper()
 	i.daemon = d.start("fulmarrun", "run", "--settings", i.settings)
-	args := []string{"target", "--listen", i.target, "--daemon", i.announce, "--name", i.name}
+	args := []string{
+		"target", "--listen", i.target, "--daemon", i.announce, "--name", i.name,
+	}
+	if d.trace != nil {
+		args = append(args, "--journal", i.journal, "--work", "2ms")
+	}
 	if i.checks {
 		args = append(args, "--checks")
 	}
@@ -257,6 +278,7 @@
 	outcome string
 	reason  string
 	retry   string
+	id      string
 	body    targetstub.Echo
 	err     error
 }
@@ -283,6 +305,7 @@
 	a := answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(caller.HeaderOutcome),
 		reason: resp.Header.Get(caller.HeaderReason), retry: resp.Header.Get("Retry-After"),
+		id: resp.Header.Get(caller.HeaderRequestID),
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
--- /dev/null
+++ b/e2e/loss_test.go
@@ -0,0 +1,177 @@
+package e2e_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"fulmarrun/operator"
+	"fulmarrun/platformstub"
+)
+
+var (
+	lossKills  = flag.Int("loss.kills", 2, "losses in TestLoss; CI takes 2")
+	lossSeed   = flag.Uint64("loss.seed", 1, "seed of TestLoss")
+	lossChecks = flag.Bool("loss.checks", true, "targets of TestLoss check grants")
+	lossFault  = flag.String("loss.fault", "kill", "kill, freeze (3 s) or outage (kill within 10 s of outage)")
+)
+
+const (
+	lossInstances = 6
+	lossFreeze    = 3 * time.Second
+	lossOutage    = 10 * time.Second
+	// probeGap is the time between two probes of a kind.
+	probeGap = 20 * time.Millisecond
+	// probeLimit ends a loss after which a key is never served again.
+	probeLimit = 60 * time.Second
+)
+
+// probe is a kind of request whose service after a loss is measured.
+type probe struct {
+	name   string
+	method string
+	id     func() string
+}
+
+func probes() []probe {
+	return []probe{
+		{"read", http.MethodGet, newID},
+		{"never, ID of ingress", http.MethodPost, func() string { return "" }},
+		{"never, ID of caller", http.MethodPost, newID},
+	}
+}
+
+// TestLoss measures how long a key is not served after its owner was lost.
+func TestLoss(t *testing.T) {
+	d := deployTraced(t, lossInstances, *lossChecks)
+	d.serving()
+	l := d.spread(8, 40*time.Millisecond, *lossSeed)
+	random := rand.New(rand.NewPCG(*lossSeed, 0))
+	times := make(map[string][]time.Duration)
+	for n := range *lossKills {
+		d.settled()
+		key := fmt.Sprint(random.IntN(200))
+		victim := d.owner(key)
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		for name, took := range d.lose(victim, key) {
+			times[name] = append(times[name], took)
+			t.Logf("%d: %s of %s, key %s: %s after %s", n, *lossFault, victim.name, key, name, took.Round(time.Millisecond))
+		}
+	}
+	d.settled()
+	l.end()
+	t.Logf("%s: %s", *lossFault, d.audit())
+	for _, p := range probes() {
+		report(t, p.name, times[p.name])
+	}
+}
+
+func report(t *testing.T, name string, times []time.Duration) {
+	t.Helper()
+	if len(times) == 0 {
+		return
+	}
+	slices.Sort(times)
+	at := func(share float64) time.Duration {
+		return times[min(len(times)-1, int(share*float64(len(times))))].Round(time.Millisecond)
+	}
+	over := 0
+	for _, took := range times {
+		if took > 2*time.Second {
+			over++
+		}
+	}
+	t.Logf("%s: n=%d p50=%s p90=%s p99=%s max=%s, over 2s: %d", name, len(times), at(0.5), at(0.9), at(0.99), at(1), over)
+}
+
+// lose loses an instance and returns for each probe when it was answered again,
+// counted from the loss.
+func (d *deployment) lose(victim *instance, key string) map[string]time.Duration {
+	d.t.Helper()
+	if *lossFault == "outage" {
+		d.faults(platformstub.Faults{Outage: true})
+		time.Sleep(lossOutage / 2)
+	}
+	start := time.Now()
+	var wg sync.WaitGroup
+	switch *lossFault {
+	case "freeze":
+		victim.daemon.signal(syscall.SIGSTOP)
+		wg.Go(func() { time.Sleep(lossFreeze); victim.daemon.signal(syscall.SIGCONT) })
+	case "outage":
+		victim.kill()
+		wg.Go(func() { time.Sleep(lossOutage / 2); d.faults(platformstub.Faults{}) })
+	default:
+		victim.kill()
+	}
+	out := make(map[string]time.Duration)
+	var mu sync.Mutex
+	for _, p := range probes() {
+		wg.Go(func() {
+			took := d.served(p, d.other(victim), key, start)
+			mu.Lock()
+			defer mu.Unlock()
+			out[p.name] = took
+		})
+	}
+	wg.Wait()
+	if *lossFault != "freeze" {
+		d.launch(victim)
+	}
+	return out
+}
+
+// served probes a key at a steady rate and returns when the first answer came.
+func (d *deployment) served(p probe, at *instance, key string, start time.Time) time.Duration {
+	d.t.Helper()
+	answered := make(chan time.Time, int(probeLimit/probeGap)+1)
+	ticker := time.NewTicker(probeGap)
+	defer ticker.Stop()
+	limit := time.After(probeLimit)
+	for {
+		go func() {
+			if d.trace.ask(at, p.method, "/agenda/visits/"+key, p.id()).outcome == "answered" {
+				answered <- time.Now()
+			}
+		}()
+		select {
+		case when := <-answered:
+			return when.Sub(start)
+		case <-limit:
+			d.t.Fatalf("%s was not served again", p.name)
+		case <-ticker.C:
+		}
+	}
+}
+
+// settled waits until all instances are active, hold a lease and own slots.
+func (d *deployment) settled() {
+	d.t.Helper()
+	until(d.t, 60*time.Second, "all instances are settled", func() bool {
+		status, err := d.status(d.instances[0])
+		if err != nil || len(status.Silent) > 0 || len(status.Instances) != len(d.instances) {
+			return false
+		}
+		for _, i := range status.Instances {
+			if i.State != "active" || i.Lease == 0 || i.Slots == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// status asks an instance for the status of all.
+func (d *deployment) status(at *instance) (operator.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return operator.NewClient(netip.MustParseAddrPort(at.operator)).Status(ctx)
+}
--- a/targetstub/request.go
+++ b/targetstub/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -107,6 +108,7 @@
 	}
 	s.running++
 	s.runs.start(id, now, s.left)
+	_, _ = fmt.Fprintf(s.journal, "%d %s %q %q\n", now.UnixNano(), r.Method, id, r.URL.Path)
 	bearable := Bearable(now.Sub(s.started), s.warmup, s.coldest, s.capacity)
 	return s.fault, Delay(s.work, s.running, bearable) + s.fault.Delay, nil
 }
--- a/targetstub/stub.go
+++ b/targetstub/stub.go
@@ -37,6 +37,7 @@
 	warmup   time.Duration
 	work     time.Duration
 	shed     int
+	journal  io.Writer
 	interval time.Duration
 	now      func() time.Time
 
@@ -93,6 +94,10 @@
 // WithInterval is a functional option that sets the time between announcements.
 func WithInterval(d time.Duration) Option { return func(s *Stub) { s.interval = d } }
 
+// WithJournal is a functional option that names where to write one line for each
+// run at the moment it starts: nanoseconds since 1970, method, request ID, path.
+func WithJournal(w io.Writer) Option { return func(s *Stub) { s.journal = w } }
+
 // WithClock is a functional option that replaces time.Now.
 func WithClock(now func() time.Time) Option { return func(s *Stub) { s.now = now } }
 
@@ -103,6 +108,7 @@
 		listen:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
 		capacity: defaultCapacity,
 		interval: defaultInterval,
+		journal:  io.Discard,
 		now:      time.Now,
 		client:   &http.Client{Timeout: defaultInterval},
 		leaving:  make(chan struct{}),
