admission: probe a thin baseline, bound the queue's walk

A target that is full from its start has few light samples, so its baseline lay a quarter too high; half the limit for one round every 5 s until there are enough mends that.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -116,14 +116,20 @@
 	return b.best.count > 0 && now.Sub(b.best.at) > bucketTTL
 }
 
+// Thin reports whether the baseline rests on few samples.
+func (b *Baseline) Thin() bool {
+	return b.best.count < bucketMax
+}
+
 // Reset forgets everything.
 func (b *Baseline) Reset() {
 	*b = Baseline{}
 }
 
-// Refresh closes the open bucket early if it holds enough to be used.
+// Refresh closes the open bucket early if the baseline is stale and the bucket
+// holds enough to be used.
 func (b *Baseline) Refresh(now time.Time) {
-	if b.open.count >= bucketMin {
+	if b.Stale(now) && b.open.count >= bucketMin {
 		b.close(now)
 	}
 }
--- a/admission/core.go
+++ b/admission/core.go
@@ -359,10 +359,11 @@
 		if !c.prune {
 			continue
 		}
-		late := func(w *Waiter, ahead int) bool {
-			return ahead >= c.set.queue || c.hopeless(&w.Ticket, ahead, now)
+		interval := c.drain(1)
+		if c.paused {
+			interval = 0
 		}
-		if id, ok := queue.Surplus(late); ok {
+		if id, ok := queue.Surplus(now.Add(c.limiter.Least()), interval, c.set.queue); ok {
 			w, ok := c.remove(id)
 			c.raise(&w, now)
 			return w, ok
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -25,6 +25,9 @@
 	// coldFactor is how many times what is near the baseline shows that the
 	// target has turned cold.
 	coldFactor = 4.0
+	// probeInterval is the least time between two probes of a baseline that
+	// rests on few samples.
+	probeInterval = 5 * time.Second
 	// validity is how long a limit that is not used is kept.
 	validity = 30 * time.Second
 )
@@ -82,7 +85,8 @@
 	baseline Baseline
 	// restore is the limit to return to after a probe of the baseline; zero
 	// if none runs.
-	restore int
+	restore  int
+	probedAt time.Time
 
 	peak      int
 	checkedAt time.Time
@@ -133,6 +137,7 @@
 	l.validate(now)
 	if l.round.size == 0 {
 		l.clear(now)
+		l.probedAt = now
 	}
 	l.peak = max(l.peak, inFlight)
 	light := l.limit <= l.start || l.restore > 0 || inFlight <= l.limit/2
@@ -238,11 +243,12 @@
 	}
 }
 
-// grow raises the limit by a step, or measures the baseline anew first if it
-// is too old to compare with.
+// grow raises the limit by a step, or measures the baseline anew first, under
+// half of the limit, if it is too old or too uncertain to compare with.
 func (l *Limiter) grow(now time.Time) {
-	if l.baseline.Stale(now) && l.limit > l.start {
+	if l.limit > l.start && l.due(now) {
 		l.restore = l.limit
+		l.probedAt = now
 		l.move(max(l.start, l.limit/2), now)
 		return
 	}
@@ -250,6 +256,11 @@
 	l.set(l.limit+Step(l.limit), now)
 }
 
+// due reports whether the baseline has to be measured anew.
+func (l *Limiter) due(now time.Time) bool {
+	return l.baseline.Stale(now) || l.baseline.Thin() && now.Sub(l.probedAt) > probeInterval
+}
+
 // slowed lowers the limit after a slow round. At the start limit the load can't
 // be the cause, so after some such rounds their latency is the new baseline.
 func (l *Limiter) slowed(limit int, now time.Time) {
--- a/admission/load_bench_test.go
+++ b/admission/load_bench_test.go
@@ -208,56 +208,68 @@
 // BenchmarkColdStart offers nine tenths of its warm capacity to a target that
 // bears 2 requests when cold and 20 after 10 s of warming, that turns cold again
 // after 20 s without a word, and whose work takes longer by the square of what
-// is too much.
+// is too much. The fragile one fails all its work and is cold again at four times
+// what it bears.
 func BenchmarkColdStart(b *testing.B) {
-	const slots, service, turn, length = 20, 20 * time.Millisecond, 20 * time.Second, 40 * time.Second
 	cases := []struct {
 		name string
 		opts []admission.Option
 	}{
 		{"no-limit", []admission.Option{admission.WithFixedLimit(1 << 20)}},
-		{"fixed-20", []admission.Option{admission.WithFixedLimit(slots)}},
+		{"fixed-20", []admission.Option{admission.WithFixedLimit(20)}},
 		{"adaptive", nil},
 	}
-	for _, c := range cases {
-		b.Run(c.name, func(b *testing.B) {
-			for b.Loop() {
-				s := newSim(1)
-				target := &model{sim: s, power: 2}
-				target.bear = func() float64 {
-					warm := s.elapsed() % turn
-					return min(2+18*warm.Seconds()/10, slots)
-				}
-				st := newStation(s, target, c.opts...)
-				begun, served, far, times := 0, 0, 0, 0.0
-				st.admitted = func(*job, admission.Decision) {
-					begun++
-					share := float64(target.inFlight+1) / target.bear()
-					times += share
-					if share > 1.5 {
-						far++
-					}
-				}
-				s.arrivals(0.9*slots/service.Seconds(), length, func() {
-					deadline := s.now.Add(500 * time.Millisecond)
-					j := &job{ticket: admission.Ticket{Deadline: deadline}, service: s.exponential(service)}
-					j.final = func(d admission.Decision, _ admission.Completion) {
-						if d.Verdict == admission.Admitted && !s.now.After(deadline) {
-							served++
-						}
-					}
-					st.submit(j)
-				})
-				s.run(length)
-				b.ReportMetric(float64(served)/length.Seconds(), "in-time/s")
-				b.ReportMetric(times/float64(begun), "in-flight/borne")
-				b.ReportMetric(100*float64(far)/float64(begun), "%far-beyond")
-				b.ReportMetric(0, "ns/op")
+	for _, collapse := range []float64{0, 4} {
+		for _, c := range cases {
+			name := "slows/" + c.name
+			if collapse > 0 {
+				name = "fragile/" + c.name
 			}
-		})
+			b.Run(name, func(b *testing.B) {
+				for b.Loop() {
+					reportColdStart(b, collapse, c.opts)
+				}
+			})
+		}
 	}
 }
 
+func reportColdStart(b *testing.B, collapse float64, opts []admission.Option) {
+	const slots, service, turn, length = 20, 20 * time.Millisecond, 20 * time.Second, 40 * time.Second
+	s := newSim(1)
+	warmSince, collapses := epoch, 0
+	target := &model{sim: s, power: 2, collapse: collapse}
+	target.bear = func() float64 { return min(2+1.8*s.now.Sub(warmSince).Seconds(), slots) }
+	target.collapsed = func() { warmSince, collapses = s.now, collapses+1 }
+	s.after(turn, func() { warmSince = s.now })
+	st := newStation(s, target, opts...)
+	begun, served, far, times := 0, 0, 0, 0.0
+	st.admitted = func(*job, admission.Decision) {
+		begun++
+		share := float64(target.inFlight+1) / target.bear()
+		times += share
+		if share > 1.5 {
+			far++
+		}
+	}
+	s.arrivals(0.9*slots/service.Seconds(), length, func() {
+		deadline := s.now.Add(500 * time.Millisecond)
+		j := &job{ticket: admission.Ticket{Deadline: deadline}, service: s.exponential(service)}
+		j.final = func(d admission.Decision, c admission.Completion) {
+			if d.Verdict == admission.Admitted && c.Result == admission.OK && !s.now.After(deadline) {
+				served++
+			}
+		}
+		st.submit(j)
+	})
+	s.run(length)
+	b.ReportMetric(float64(served)/length.Seconds(), "in-time/s")
+	b.ReportMetric(times/float64(begun), "in-flight/borne")
+	b.ReportMetric(100*float64(far)/float64(begun), "%far-beyond")
+	b.ReportMetric(float64(collapses), "collapses")
+	b.ReportMetric(0, "ns/op")
+}
+
 // BenchmarkPatient offers urgent work that comes in bursts, half of the capacity
 // on average, and patient work without end.
 func BenchmarkPatient(b *testing.B) {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,6 +1,10 @@
 package admission
 
-import "sort"
+import (
+	"math"
+	"sort"
+	"time"
+)
 
 // defaultQueue is the greatest number of requests of one class that wait.
 const defaultQueue = 512
@@ -21,6 +25,8 @@
 	Ticket
 	// ID numbers the requests that have waited, in order of arrival.
 	ID uint64
+	// until is the deadline in nanoseconds of Unix time.
+	until int64
 }
 
 // Order reports whether a goes before b. Requests of which neither goes before
@@ -75,6 +81,10 @@
 
 // Push adds a request.
 func (q *Queue) Push(w Waiter) {
+	w.until = math.MaxInt64
+	if !w.Deadline.IsZero() {
+		w.until = w.Deadline.UnixNano()
+	}
 	i := q.search(&w)
 	q.waiters = append(q.waiters, Waiter{})
 	copy(q.waiters[i+1:], q.waiters[i:])
@@ -109,17 +119,20 @@
 	return false
 }
 
-// Surplus returns the request that has to go if some request would be late with
-// so many ahead of it: the one with the least value, and of these the newest,
-// up to the first that is late.
-func (q *Queue) Surplus(late func(w *Waiter, ahead int) bool) (id uint64, ok bool) {
+// Surplus returns the request that has to go if more than size wait or some
+// request would miss its deadline when, from start on, one leaves the queue in
+// each interval: the one with the least value, and of these the newest, up to
+// the first that is late.
+func (q *Queue) Surplus(start time.Time, interval time.Duration, size int) (id uint64, ok bool) {
 	var least *Waiter
+	at := start.UnixNano()
 	for i := len(q.waiters) - 1; i >= 0; i-- {
 		w := &q.waiters[i]
 		if least == nil || w.Value < least.Value || (w.Value == least.Value && w.ID > least.ID) {
 			least = w
 		}
-		if late(w, len(q.waiters)-1-i) {
+		at += int64(interval)
+		if at > w.until || len(q.waiters)-i > size {
 			return least.ID, true
 		}
 	}
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -113,6 +113,10 @@
 	work     tasks
 	turn     int
 	inFlight int
+	// collapse, if set, is how many times what it bears makes the target fail
+	// all that it has; collapsed is then called.
+	collapse  float64
+	collapsed func()
 }
 
 // task is a request at a model: it ends when the progress reaches until.
@@ -157,6 +161,19 @@
 	m.schedule()
 }
 
+// fail ends all requests.
+func (m *model) fail() {
+	m.collapsed()
+	failed := m.work
+	m.work = nil
+	m.sim.after(1, func() {
+		for _, t := range failed {
+			m.inFlight--
+			t.end(admission.Completion{Latency: m.sim.now.Sub(t.began), Result: admission.Failed})
+		}
+	})
+}
+
 // rate returns the progress in each unit of time.
 func (m *model) rate() float64 {
 	rate := 1.0
@@ -180,6 +197,9 @@
 // since the rate may change.
 func (m *model) schedule() {
 	m.turn++
+	if m.collapse > 0 && float64(len(m.work)) > m.collapse*m.bear() {
+		m.fail()
+	}
 	if len(m.work) == 0 {
 		return
 	}
