admission: balancer of unkeyed services, limits that lapse when idle

The wait is judged by the limit that reports have lowered. A limit that was last used before a long idle time says nothing about the target now.

--- a/admission/core.go
+++ b/admission/core.go
@@ -136,7 +136,7 @@
 	c.reserve.Ask(t.Depth, now)
 	if c.vacancy(&t, now) {
 		if c.reserve.InFlight() > 0 && t.missed(now, c.limiter.Least()) {
-			return c.refuse(0, c.refusal(ReasonDeadline))
+			return c.refuse(0, c.refusal(ReasonDeadline, now))
 		}
 		return c.admit(&t, 0, now)
 	}
@@ -153,7 +153,7 @@
 	case t.Depth > c.set.maxDepth:
 		return Refusal{Reason: ReasonDepth}, true
 	case t.missed(now, 0):
-		return c.refusal(ReasonDeadline), true
+		return c.refusal(ReasonDeadline, now), true
 	}
 	return Refusal{}, false
 }
@@ -193,11 +193,11 @@
 	w := Waiter{Ticket: t, ID: c.lastID + 1}
 	full := queue.Len() >= c.set.queue
 	if t.Class == Urgent && t.Value < c.threshold.Value(now) {
-		return c.refuse(0, c.refusal(ReasonDeadline))
+		return c.refuse(0, c.refusal(ReasonDeadline, now))
 	}
 	if (full || c.hopeless(&t, queue.Ahead(&w), now)) && !queue.Worse(t.Value) {
 		c.raise(&w, now)
-		return c.refuse(0, c.refusal(c.cause(full)))
+		return c.refuse(0, c.refusal(c.cause(full), now))
 	}
 	c.lastID++
 	c.prune = true
@@ -213,7 +213,7 @@
 func (c *Core) hopeless(t *Ticket, ahead int, now time.Time) bool {
 	service := c.limiter.Least()
 	if !c.paused {
-		service += c.drain(ahead + 1)
+		service += c.drain(ahead+1, now)
 	}
 	return t.missed(now, service)
 }
@@ -221,7 +221,7 @@
 // raise notes that an urgent request of this value had to go for lack of room.
 func (c *Core) raise(w *Waiter, now time.Time) {
 	if w.Class == Urgent {
-		c.threshold.Raise(w.Value, c.drain(c.urgent.Len()+1), now)
+		c.threshold.Raise(w.Value, c.drain(c.urgent.Len()+1, now), now)
 	}
 }
 
@@ -235,8 +235,8 @@
 }
 
 // drain returns the time in which so many requests leave the queue.
-func (c *Core) drain(count int) time.Duration {
-	return time.Duration(c.latency * float64(count) / float64(max(c.limiter.Limit(), 1)))
+func (c *Core) drain(count int, now time.Time) time.Duration {
+	return time.Duration(c.latency * float64(count) / float64(max(c.Limit(now), 1)))
 }
 
 // Done takes back a slot. It reports false, and does nothing, if the slot was
@@ -299,7 +299,7 @@
 		return Decision{Verdict: Waiting, ID: id, Cutoff: cutoff}, true
 	}
 	c.Leave(id)
-	return c.refuse(id, c.refusal(ReasonDeadline)), true
+	return c.refuse(id, c.refusal(ReasonDeadline, now)), true
 }
 
 // Next returns the next decision on a waiting request, if there is one to make.
@@ -313,7 +313,7 @@
 	}
 	full := c.urgent.Len() > c.set.queue || c.patient.Len() > c.set.queue
 	if w, ok := c.expired(now); ok {
-		return c.refuse(w.ID, c.refusal(c.cause(full))), true
+		return c.refuse(w.ID, c.refusal(c.cause(full), now)), true
 	}
 	if c.paused {
 		return Decision{}, false
@@ -359,7 +359,7 @@
 		if !c.prune {
 			continue
 		}
-		interval := c.drain(1)
+		interval := c.drain(1, now)
 		if c.paused {
 			interval = 0
 		}
@@ -453,8 +453,8 @@
 }
 
 // refusal tells the caller to come back when the queue has drained.
-func (c *Core) refusal(reason string) Refusal {
-	wait := c.drain(c.urgent.Len() + c.reserve.InFlight() + 1)
+func (c *Core) refusal(reason string, now time.Time) Refusal {
+	wait := c.drain(c.urgent.Len()+c.reserve.InFlight()+1, now)
 	return Refusal{Reason: reason, RetryAfter: jitter(wait, c.random)}
 }
 
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -106,7 +106,8 @@
 
 // coldTarget runs a target that bears one more request with each bit of time,
 // turns cold at random without a word, and sheds what it can't bear. There is
-// always more work than it bears.
+// always more work than it bears. Until it first turns cold, no more than one
+// step beyond what it bears may be in flight.
 func coldTarget(seed uint64, opts ...admission.Option) error {
 	s := newSim(seed)
 	random := rand.New(rand.NewPCG(seed, 2))
@@ -122,7 +123,11 @@
 	inFlight := 0
 	st.admitted = func(_ *job, d admission.Decision) {
 		inFlight++
-		if err := oracle.admit(d, inFlight); err != nil && failure == nil {
+		err := oracle.admit(d, inFlight)
+		if bears := int(target.bear()); err == nil && warmSince.Equal(epoch) && inFlight > bears+admission.Step(bears) {
+			err = fmt.Errorf("%d in flight at a target that warms and bears %d", inFlight, bears)
+		}
+		if err != nil && failure == nil {
 			failure = fmt.Errorf("at %v: %w", s.elapsed(), err)
 		}
 	}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -323,10 +323,14 @@
 // validate lowers a limit that has not been used for a while to what was used,
 // since nothing has shown lately that the target can bear more.
 func (l *Limiter) validate(now time.Time) {
-	if now.Sub(l.checkedAt) < validity {
+	elapsed := now.Sub(l.checkedAt)
+	if elapsed < validity {
 		return
 	}
-	if !l.checkedAt.IsZero() && !l.fixed && l.peak < l.limit/2 {
+	if elapsed >= 2*validity {
+		l.peak = 0
+	}
+	if !l.checkedAt.IsZero() && l.peak < l.limit/2 {
 		used := max(l.peak, l.start)
 		l.proven = min(l.proven, used)
 		l.set(used, now)
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -76,23 +76,33 @@
 }
 
 func TestLimitFallsToWhatIsUsed(t *testing.T) {
-	l := admission.NewLimiter()
-	now := epoch
-	for range 2000 {
-		now = now.Add(time.Millisecond)
-		limit := l.Limit()
-		b := l.Begin(limit, true, now)
-		l.End(b, admission.Completion{Latency: 10 * time.Millisecond}, now)
-	}
-	if l.Limit() < 20 {
-		t.Fatalf("limit %d after steady work", l.Limit())
-	}
-	for range 3 {
-		now = now.Add(31 * time.Second)
-		l.End(l.Begin(1, false, now), admission.Completion{Latency: 10 * time.Millisecond}, now)
+	cases := []struct {
+		name  string
+		pause time.Duration
+		times int
+	}{
+		{"little work", 31 * time.Second, 3},
+		{"no work", time.Hour, 1},
 	}
-	if l.Limit() != 2 {
-		t.Errorf("limit %d after little work", l.Limit())
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := admission.NewLimiter()
+			now := epoch
+			for range 2000 {
+				now = now.Add(time.Millisecond)
+				l.End(l.Begin(l.Limit(), true, now), admission.Completion{Latency: 10 * time.Millisecond}, now)
+			}
+			if l.Limit() < 20 {
+				t.Fatalf("limit %d after steady work", l.Limit())
+			}
+			for range c.times {
+				now = now.Add(c.pause)
+				l.End(l.Begin(1, false, now), admission.Completion{Latency: 10 * time.Millisecond}, now)
+			}
+			if l.Limit() != 2 {
+				t.Errorf("limit %d", l.Limit())
+			}
+		})
 	}
 }
 
