--- a/lease/options.go
+++ b/lease/options.go
@@ -60,6 +60,9 @@
 	OnlyNewSet bool
 	// AnyVersion drops the condition on the holder's row as read.
 	AnyVersion bool
+	// FewVotes takes one vote fewer than the quorum, so that votes and renewals
+	// need not meet.
+	FewVotes bool
 	// ClosedAtOnce counts a closed witness as a vote without waiting for TTL.
 	ClosedAtOnce bool
 	// CountMarked counts marked answers as renewals.
--- a/lease/process_test.go
+++ b/lease/process_test.go
@@ -39,7 +39,6 @@
 	nextRead, nextRows       time.Time
 	nextSelf, nextSlot       time.Time
 	born                     time.Time
-	predecessor              wire.Generation
 	serial                   int
 	cachedValid, closedKnown bool
 }
@@ -468,9 +467,13 @@
 			p.drive(g+1, a)
 		}
 	}
-	old, ok := p.members[p.predecessor]
-	if p.w.succession && ok && old.row.State != wire.StateClosed && now.Sub(p.born) > 1500*time.Millisecond {
-		p.succeed(old)
+	if !p.w.succession || now.Sub(p.born) < 1500*time.Millisecond {
+		return
+	}
+	for _, m := range p.open([]wire.Generation{p.self.Generation}) {
+		if m.Instance == p.self.Instance {
+			p.succeed(p.members[m.Generation])
+		}
 	}
 }
 
@@ -536,12 +539,13 @@
 }
 
 func (p *process) succeed(old known) {
-	if a := p.attempts[p.predecessor]; a != nil && a.written {
+	g := old.row.Generation
+	if a := p.attempts[g]; a != nil && a.written {
 		return
 	}
 	a := &attempt{Takeover: lease.NewTakeover(old.row, old.version, p.now(), p.options...), version: old.version, written: true}
 	a.expires = p.now().Add(400 * time.Millisecond)
-	p.attempts[p.predecessor] = a
+	p.attempts[g] = a
 	tx, err := a.Succeed(p.self, p.version, p.heirs(), p.change(), "succeeded")
 	if err == nil {
 		p.write(tx, &p.w.stats.takeovers)
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -138,6 +138,9 @@
 		return true
 	}
 	_, needed := Quorum(len(t.voters))
+	if t.faults.FewVotes {
+		needed--
+	}
 	t.decided = t.votes(now) >= needed && len(t.voters) <= MaxWitnesses
 	return t.decided
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -238,7 +238,6 @@
 	p := newProcess(w, i, w.number)
 	if old := w.procs[i]; old != nil {
 		old.dead = true
-		p.predecessor = old.self.Generation
 	}
 	w.procs[i] = p
 	w.after(w.between(0, stepTime), p.step)
@@ -257,7 +256,7 @@
 	for range copies {
 		delay := w.between(500*time.Microsecond, 5*time.Millisecond)
 		if w.chaos && w.chance(w.lossy) {
-			delay = w.between(0, 1500*time.Millisecond)
+			delay = min(w.between(0, 1500*time.Millisecond), max(faulty-w.now, delay))
 		}
 		w.after(delay, func() { w.procs[to].post(receive) })
 	}
