Drive the whole ownership in simulated time, and mend what that found

Several cores run around a table, a network and clocks with faults drawn from a seed; at every instant a slot may be served by one generation at most, epochs never fall, no request ID runs twice, and when the faults stop all slots come back. Causes, each by itself:

- Reasoned, not seen: rows known only to the lost (the own service's gaps are read again from the platform), a daemon without witnesses, which nobody could close, a dead planner that stood in the way of its own closing, a free hot key that was never assigned, an own row that was deleted, a join applied after its row was closed and deleted, assignments by a closed planner, records collected before a hot key rejoined the slot that is given away.

The rule for predecessors was changed on the way. It now wants a lease held for 1.5 s since the other was known, and that the other joined before. Two orders of the address were ruled out as proof: the row's version and the time of reading.

Balance waited for a second without any change of any member row, so that its own moves held it up; only who is a member of the service counts now. Free slots are assigned in runs, so that a member's slots share few rows. The work per tick no longer sorts or copies all members.

--- a/control/beat.go
+++ b/control/beat.go
@@ -7,8 +7,15 @@
 )
 
 func (c *Core) beat(now time.Time) {
+	if c.mute(now) {
+		return
+	}
+	beats := c.holder.Beat(now)
+	if len(beats) == 0 {
+		return
+	}
 	digest := c.view.Digest()
-	for _, hb := range c.holder.Beat(now) {
+	for _, hb := range beats {
 		hb.Digest = digest
 		if to := c.addr(hb.To); to.IsValid() {
 			c.emit(SendHeartbeat{To: to, Heartbeat: hb})
@@ -16,6 +23,23 @@
 	}
 }
 
+// mute tells whether heartbeats are held back. A daemon that is heard but hears
+// nothing holds no lease, and its witnesses would renew it for ever; its silence
+// lets them end it. If they don't, it tries again.
+func (c *Core) mute(now time.Time) bool {
+	if c.holder.Valid(now) {
+		return false
+	}
+	return now.Sub(c.leasedSince)%(2*lapsePatience) >= lapsePatience
+}
+
+// watchLease notes since when the lease has been held, or has been gone.
+func (c *Core) watchLease(now time.Time) {
+	if held := c.holder.Valid(now); held != c.leased || c.leasedSince.IsZero() {
+		c.leased, c.leasedSince = held, now
+	}
+}
+
 func (c *Core) heartbeat(now time.Time, hb wire.Heartbeat) {
 	if hb.To != c.self.Generation || !c.joined {
 		return
--- a/control/core.go
+++ b/control/core.go
@@ -23,6 +23,16 @@
 	// storeFresh is how long ago the platform may have answered for a step that
 	// needs it to be started.
 	storeFresh = time.Second
+	// lapsePatience is how long a daemon without a lease goes on sending
+	// heartbeats, and how long it then holds them back.
+	lapsePatience = 2 * time.Second
+	// gapWait is how long, at most, rows that are missing are waited for before
+	// they are read from the platform; each daemon draws its own time.
+	gapWait = 500 * time.Millisecond
+	// gapRest is the time between two such readings.
+	gapRest = 3 * time.Second
+	// movePause is how long no hand-over is started after one was given up.
+	movePause = time.Second
 	// settleTime is how long the members must be unchanged before slots move
 	// for balance alone.
 	settleTime = time.Second
@@ -48,9 +58,17 @@
 	return func(c *Core) { c.name = name }
 }
 
+// WithRetain is a functional option that sets how long the row of a closed
+// generation is kept.
+func WithRetain(retain time.Duration) Option {
+	return func(c *Core) { c.retain = retain }
+}
+
 // Core is the control state of one generation.
 type Core struct {
 	leaseOptions []lease.Option
+	retain       time.Duration
+	faults       Faults
 	random       *rand.Rand
 	name         func() string
 
@@ -71,9 +89,13 @@
 	holder  *lease.Holder
 	witness *lease.Witness
 
-	takeovers   map[wire.Generation]*takeover
+	takeovers map[wire.Generation]*takeover
+	// predecessor are the open generations with the own address, and since when
+	// they have been known.
 	predecessor map[wire.Generation]time.Time
 	orphans     map[wire.Generation]time.Time
+	// silent are those who did not answer as witnesses, and since when.
+	silent map[wire.Generation]time.Time
 	// closedSince is when the closing of a generation was learned.
 	closedSince map[wire.Generation]time.Time
 
@@ -81,14 +103,30 @@
 	loading  uint64
 	planning bool
 	moving   bool
+	hot      hotChange
 
 	storeAnswered time.Time
 	wall          time.Time
 	nextUpkeep    time.Time
 	nextCompare   time.Time
 	nextProbe     time.Time
+	nextMove      time.Time
+	nextFill      time.Time
 	membersSince  time.Time
-	compareTurn   int
+	// leased tells whether the lease was held at the last tick, and leasedSince
+	// since when that has been so.
+	leased      bool
+	leasedSince time.Time
+	// loadedAt is when the rows were read that the generation joined by.
+	loadedAt time.Time
+	// ring is kept while View.Changes is at ringOf.
+	ring   []wire.Generation
+	ringOf uint64
+	// moves is the own plan for planOf at the configuration planNumber.
+	moves       []handover.Move
+	planOf      *routes.Snapshot
+	planNumber  uint64
+	compareTurn int
 
 	effects []Effect
 }
@@ -97,16 +135,18 @@
 func NewCore(self wire.Member, opts ...Option) *Core {
 	c := &Core{
 		self:        self,
-		view:        routes.NewView(),
+		retain:      retainClosed,
 		takeovers:   make(map[wire.Generation]*takeover),
 		predecessor: make(map[wire.Generation]time.Time),
 		orphans:     make(map[wire.Generation]time.Time),
+		silent:      make(map[wire.Generation]time.Time),
 		closedSince: make(map[wire.Generation]time.Time),
 	}
 	WithSeed(uint64(self.Generation))(c)
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.view = routes.NewView(routes.WithFaults(c.faults.Routes))
 	c.holder = lease.NewHolder(self.Generation, c.leaseOptions...)
 	c.witness = lease.NewWitness(self.Generation, c.leaseOptions...)
 	return c
@@ -164,7 +204,10 @@
 	case MoveReady:
 		c.moveReady(now, m)
 	case MoveFailed:
-		c.moving = false
+		c.moving, c.nextMove = false, now.Add(movePause)
+	case HotFound, HotCooled:
+		c.hot = hotChange{message: m, since: now}
+		c.runHot(now)
 	case Drained:
 		c.drained = true
 	}
@@ -179,15 +222,18 @@
 	if !c.joined {
 		return
 	}
+	c.watchLease(now)
 	c.beat(now)
 	c.runTakeovers(now)
 	c.startMove(now)
+	c.runHot(now)
 	if now.Before(c.nextUpkeep) {
 		return
 	}
 	c.nextUpkeep = now.Add(upkeepInterval)
 	c.keepSelf(now)
 	c.findTakeovers(now)
+	c.fillGaps(now)
 	c.plan(now)
 	c.compare(now)
 }
@@ -212,7 +258,11 @@
 		if row.Version == 0 {
 			continue
 		}
+		before := c.view.Changes()
 		if isNew, err := c.view.Put(row); err == nil && isNew {
+			if c.view.Changes() != before {
+				c.membersChanged(now, row)
+			}
 			news = append(news, row)
 			c.noticeRow(now, row)
 		}
@@ -228,6 +278,10 @@
 // noticeRow keeps what is derived from rows in step with them.
 func (c *Core) noticeRow(now time.Time, row wire.Row) {
 	if row.Deleted {
+		if row.Key == routes.MemberKey(c.self.Generation) {
+			c.end("its row is deleted")
+			return
+		}
 		maps.DeleteFunc(c.closedSince, func(g wire.Generation, _ time.Time) bool {
 			return routes.MemberKey(g) == row.Key
 		})
@@ -248,7 +302,6 @@
 }
 
 func (c *Core) noticeMember(now time.Time, m wire.Member, version uint64) {
-	c.membersSince = now
 	if m.Generation == c.self.Generation {
 		c.noticeSelf(m, version)
 		return
@@ -265,6 +318,11 @@
 		}
 		return
 	}
+	if m.Instance == c.self.Instance && m.Peer == c.self.Peer {
+		if _, known := c.predecessor[m.Generation]; !known {
+			c.predecessor[m.Generation] = now
+		}
+	}
 	if slices.Contains(m.Witnesses, c.self.Generation) {
 		c.witness.Watch(m.Generation, now)
 	} else {
@@ -277,15 +335,28 @@
 		return
 	}
 	c.self, c.version = m, version
-	if m.State != wire.StateClosed {
-		return
+	if m.State == wire.StateClosed {
+		c.end(m.Reason)
 	}
+}
+
+// end says that this generation is over.
+func (c *Core) end(reason string) {
 	c.closed = true
 	if c.closing {
 		c.emit(Empty{})
 		return
 	}
-	c.emit(Closed{Reason: m.Reason})
+	c.emit(Closed{Reason: reason})
+}
+
+// membersChanged notes the time if it has changed who is a member of the own
+// service.
+func (c *Core) membersChanged(now time.Time, row wire.Row) {
+	var m wire.Member
+	if row.Deleted || wire.Decode(row.Value, &m) == nil && m.Service == c.self.Service {
+		c.membersSince = now
+	}
 }
 
 func (c *Core) rowsArrived(now time.Time, m RowsArrived) { c.put(now, m.From, m.Rows) }
@@ -297,15 +368,9 @@
 	return netip.AddrPort{}
 }
 
-// openMembers returns the members that are not closed, without self.
-func (c *Core) openMembers() []wire.Member {
-	var out []wire.Member
-	for _, m := range c.view.Members() {
-		if m.State != wire.StateClosed && m.Generation != c.self.Generation {
-			out = append(out, m.Member)
-		}
-	}
-	return out
+// isOther tells whether a member is open and not self.
+func (c *Core) isOther(m *routes.MemberRow) bool {
+	return m.State != wire.StateClosed && m.Generation != c.self.Generation
 }
 
 // eligible tells whether a member may be given slots.
@@ -325,6 +390,30 @@
 	return ServiceShape{}, false
 }
 
+// ownPlan returns the moves that self should make.
 func (c *Core) ownPlan() []handover.Move {
-	return handover.Plan(c.view.Snapshot(), c.self.Service, c.eligible, c.self.Generation)
+	snapshot := c.view.Snapshot()
+	if snapshot != c.planOf || c.config.Number != c.planNumber {
+		c.moves = handover.Plan(snapshot, c.self.Service, c.eligible, c.self.Generation)
+		c.planOf, c.planNumber = snapshot, c.config.Number
+	}
+	return c.moves
+}
+
+// fillGaps reads the rows again if some are missing here: whoever knew them may
+// be lost. Each daemon waits for a time of its own first, so that one reads and
+// the others get the rows from it.
+func (c *Core) fillGaps(now time.Time) {
+	if !c.view.Snapshot().Gaps(c.self.Service) {
+		c.nextFill = time.Time{}
+		return
+	}
+	if c.nextFill.IsZero() {
+		c.nextFill = now.Add(time.Duration(c.random.Int64N(int64(gapWait))))
+	}
+	if now.Before(c.nextFill) || !c.storeReady(now) {
+		return
+	}
+	c.nextFill = now.Add(gapRest)
+	c.emit(Reload{})
 }
--- /dev/null
+++ b/control/debug_test.go
@@ -0,0 +1,43 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"fulmarrun/control"
+)
+
+var trace = flag.Int64("control.trace", 0, "seed of a run to print")
+
+func TestTrace(t *testing.T) {
+	if *trace == 0 {
+		t.Skip("no seed given")
+	}
+	w := newWorld(setupOf(*trace))
+	w.trace = func(format string, args ...any) { fmt.Printf("%v "+format+"\n", append([]any{w.now}, args...)...) }
+	t.Log(w.run())
+}
+
+func (p *process) traced(m control.Message, effects []control.Effect) {
+	if p.w.trace == nil {
+		return
+	}
+	switch m := m.(type) {
+	case control.Tick, control.Heartbeat, control.SummaryArrived, control.VersionsAsked, control.VersionsArrived, control.RowsArrived:
+	case control.WriteDone:
+		p.w.trace("%d: done %q applied %t", p.self.Generation, m.Write.Entry.What, m.Applied)
+	default:
+		p.w.trace("%d: message %T", p.self.Generation, m)
+	}
+	for _, e := range effects {
+		switch e := e.(type) {
+		case control.Write:
+			p.w.trace("%d: write %s %s to %s: %s", p.self.Generation, e.Entry.What, e.Entry.Subject, e.Entry.To, e.Entry.Why)
+		case control.Move:
+			p.w.trace("%d: move %v", p.self.Generation, e.Moves)
+		case control.MoveEnd, control.Closed, control.Empty:
+			p.w.trace("%d: effect %T %v", p.self.Generation, e, e)
+		}
+	}
+}
--- a/control/message.go
+++ b/control/message.go
@@ -97,6 +97,15 @@
 // MoveFailed says that a Move was given up and its slots are admitted again.
 type MoveFailed struct{ Move Move }
 
+// HotFound says that a key of an own slot is hot and who has room for it.
+type HotFound struct {
+	Key string
+	To  wire.Generation
+}
+
+// HotCooled says that an own hot key is no longer hot.
+type HotCooled struct{ Key string }
+
 // Drained says that no request runs at a leaving daemon any more.
 type Drained struct{}
 
@@ -114,4 +123,6 @@
 func (LeaveAsked) message()      {}
 func (MoveReady) message()       {}
 func (MoveFailed) message()      {}
+func (HotFound) message()        {}
+func (HotCooled) message()       {}
 func (Drained) message()         {}
--- a/control/move.go
+++ b/control/move.go
@@ -13,7 +13,7 @@
 
 // startMove begins the next hand-over of own slots, one row at a time.
 func (c *Core) startMove(now time.Time) {
-	if c.moving || c.closing || c.planning || !c.holder.Valid(now) {
+	if now.Before(c.nextMove) || c.moving || c.closing || c.planning || !c.holder.Valid(now) {
 		return
 	}
 	mustGo := !c.eligible(&routes.Owner{
@@ -47,6 +47,12 @@
 			batch = append(batch, m)
 		}
 	}
+	now := c.fill(*row, []wire.Generation{0}).Slots
+	for i := range batch {
+		if at := slotEntry(&now, batch[i]); at != nil {
+			batch[i].Epoch = at.Epoch
+		}
+	}
 	c.moving = true
 	c.emit(Move{Moves: batch, First: first, Transfer: c.random.Uint64() | 1, Reason: why})
 }
@@ -64,7 +70,7 @@
 // row too: once that is closed, the heirs own what was not given before.
 func (c *Core) moveReady(now time.Time, m MoveReady) {
 	row := c.view.SlotsRow(c.self.Service, m.Move.First)
-	if c.writing || c.closing || row == nil || !c.holder.Valid(now) {
+	if c.writing || c.closing || row == nil || !c.holder.Valid(now) || !c.takersOpen(m.Move) {
 		c.moving = false
 		c.emit(MoveEnd{Move: m.Move})
 		return
@@ -78,16 +84,35 @@
 	c.writeMove(m.Move, row, slots)
 }
 
-// changeHands returns the row after the moves, and whether self owns all of what
-// is to be given.
+// takersOpen tells whether all who are to be given something are still there; a
+// loss would leave their heirs without the records.
+func (c *Core) takersOpen(move Move) bool {
+	for _, m := range move.Moves {
+		if to := c.view.Member(m.To); to == nil || to.State != wire.StateActive {
+			return false
+		}
+	}
+	return true
+}
+
+// changeHands returns the row after the moves, and whether self still owns all
+// of what is to be given, under the epochs at which the records were collected.
 func (c *Core) changeHands(row *routes.SlotsRow, move Move) (wire.Slots, bool) {
 	out := c.fill(*row, []wire.Generation{0}).Slots
 	for _, m := range move.Moves {
 		at := slotEntry(&out, m)
-		if at == nil || at.Owner != c.self.Generation {
+		if at == nil || at.Owner != c.self.Generation || at.Epoch != m.Epoch && !c.faults.AnyEpoch {
 			return out, false
 		}
-		*at = wire.Slot{Owner: m.To, Epoch: at.Epoch + 1, Transfer: move.Transfer}
+		if m.Rejoin {
+			if !rejoin(&out, m, move.Transfer) {
+				return out, false
+			}
+			continue
+		}
+		*at = wire.Slot{
+			Owner: m.To, Epoch: at.Epoch + 1, Transfer: move.Transfer, Since: wire.MomentOf(c.wall),
+		}
 		if m.Key != "" {
 			setHot(&out, m.Key, *at)
 		}
@@ -137,17 +162,18 @@
 	}
 	slotsKey := routes.SlotsKey(slots.Service, slots.First)
 	selfKey := routes.MemberKey(c.self.Generation)
+	conditions := []platform.Condition{
+		{Key: slotsKey, Version: row.Version}, {Key: selfKey, Version: c.version},
+	}
+	writes := []platform.Write{{Key: slotsKey, Value: slotsValue}, {Key: selfKey, Value: selfValue}}
+	if c.faults.UnguardedMove {
+		conditions, writes = conditions[:1], writes[:1]
+	}
 	c.writing = true
 	c.emit(Write{
 		Purpose: PurposeMove, Move: move,
 		Transaction: platform.Transaction{
-			ID: change,
-			Conditions: []platform.Condition{
-				{Key: slotsKey, Version: row.Version}, {Key: selfKey, Version: c.version},
-			},
-			Writes: []platform.Write{
-				{Key: slotsKey, Value: slotsValue}, {Key: selfKey, Value: selfValue},
-			},
+			ID: change, Conditions: conditions, Writes: writes,
 		},
 		Entry: audit.Entry{
 			Who: c.self.Instance, What: "move", Subject: slotsKey,
--- a/control/plan.go
+++ b/control/plan.go
@@ -19,7 +19,7 @@
 	var best wire.Generation
 	var most uint64
 	for _, o := range c.view.Snapshot().Members(service) {
-		if !c.eligible(o) {
+		if _, orphan := c.orphans[o.Generation]; orphan || !c.eligible(o) {
 			continue
 		}
 		if rank := routes.Mix(uint64(len(service)), uint64(o.Generation)); best == 0 || rank > most {
@@ -33,7 +33,7 @@
 // chain gives anyway.
 func (c *Core) plan(now time.Time) {
 	shape, ok := c.shape()
-	if !ok || c.planning || !c.isPlanner(c.self.Service) {
+	if !ok || c.planning || c.writing || !c.holder.Valid(now) || !c.isPlanner(c.self.Service) {
 		return
 	}
 	rows := c.rowsToWrite(shape)
@@ -45,7 +45,10 @@
 		return
 	}
 	change := c.name()
-	tx := platform.Transaction{ID: change}
+	// The own row shows that no assignment by a closed generation comes late.
+	tx := platform.Transaction{ID: change, Conditions: []platform.Condition{
+		{Key: routes.MemberKey(c.self.Generation), Version: c.version},
+	}}
 	for _, row := range rows {
 		row.Change = change
 		value, err := wire.Encode(&row.Slots)
@@ -107,7 +110,7 @@
 	}
 	for _, h := range row.Hot {
 		r := c.view.Resolve(row, h.Slot, 0, h.Key)
-		if r.Known && r.Owner != h.Owner {
+		if r.Known && (r.Owner == 0 || r.Owner != h.Owner) {
 			return true
 		}
 	}
@@ -121,7 +124,7 @@
 	row.Slots.Slots = slices.Clone(row.Slots.Slots)
 	for i, s := range row.Slots.Slots {
 		slot := row.First + uint32(i)
-		row.Slots.Slots[i] = c.fold(&resolved, s, slot, "", takers[int(slot)%len(takers)])
+		row.Slots.Slots[i] = c.fold(&resolved, s, slot, "", takers[int(slot)*len(takers)/int(row.Count)])
 	}
 	row.Hot = slices.Clone(row.Hot)
 	for i, h := range row.Hot {
@@ -137,8 +140,10 @@
 		return s
 	case r.Owner == 0:
 		return wire.Slot{Owner: taker, Epoch: r.Epoch + 1}
+	case r.Owner == s.Owner:
+		return s
 	default:
-		return wire.Slot{Owner: r.Owner, Epoch: r.Epoch, Transfer: r.Transfer}
+		return wire.Slot{Owner: r.Owner, Epoch: r.Epoch, Since: wire.MomentOf(c.wall)}
 	}
 }
 
@@ -156,7 +161,7 @@
 func (c *Core) collect(now time.Time) {
 	for _, m := range c.view.Members() {
 		if m.Service != c.self.Service || m.State != wire.StateClosed ||
-			now.Sub(c.closedSince[m.Generation]) < retainClosed || c.referenced(m.Generation) {
+			now.Sub(c.closedSince[m.Generation]) < c.retain || c.referenced(m.Generation) {
 			continue
 		}
 		if !c.storeReady(now) {
--- a/control/self.go
+++ b/control/self.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -11,22 +13,21 @@
 	"fulmarrun/wire"
 )
 
-// predecessorWait is how long an address must be held before the generation
-// that held it before is known to have lost its lease: renewals are sent to
-// the address, so none has reached that generation since.
+// predecessorWait is how long self must have held its lease and known of another
+// generation at its address, one that joined before, until that one is known to
+// have lost its own lease: renewals are sent to the address, and those of self
+// show who receives there now.
 const predecessorWait = 1500 * time.Millisecond
 
+// avoidSilent is how long one that did not answer is not chosen as a witness.
+const avoidSilent = 10 * time.Second
+
 // loaded joins: it writes the own row for the first time.
 func (c *Core) loaded(now time.Time, m Loaded) {
-	c.wall = m.Wall
+	c.wall, c.loadedAt = m.Wall, now
 	c.put(now, 0, m.Rows)
-	for _, other := range c.openMembers() {
-		if other.Instance == c.self.Instance && other.Peer == c.self.Peer {
-			c.predecessor[other.Generation] = now.Add(predecessorWait)
-		}
-	}
 	next := c.self
-	next.Witnesses = lease.Choose(c.self, c.witnessCandidates(now), nil)
+	next.Witnesses = lease.Choose(c.self, c.witnessCandidates(), nil)
 	next.Joined = c.wall
 	c.writeSelf(next, "join", "started")
 }
@@ -61,21 +62,31 @@
 	switch m.Write.Purpose {
 	case PurposeSelf:
 		c.writing = false
+		if !c.joined && now.Sub(c.loadedAt) > c.retain/2 {
+			// The row may have been closed and deleted meanwhile.
+			c.end("it joined too late")
+			return
+		}
 		if m.Applied && !c.joined {
 			c.joined = true
 			// Two that join at the same time may both have read the rows before
 			// the other wrote its own, and nobody else would tell them.
-			c.emit(Reload{})
+			if !c.faults.NoReload {
+				c.emit(Reload{})
+			}
 		}
 	case PurposeTakeover:
 		delete(c.takeovers, m.Write.Subject)
-		delete(c.predecessor, m.Write.Subject)
 	case PurposePlan:
 		c.planning = false
 	case PurposeMove:
 		c.writing, c.moving = false, false
 	}
 	c.put(now, 0, rows)
+	if !m.Applied && c.version > 0 && missing(m.Rows, routes.MemberKey(c.self.Generation)) {
+		c.end("its row is deleted")
+		return
+	}
 	if m.Applied {
 		c.put(now, 0, tombstones(m.Write.Transaction))
 	}
@@ -92,11 +103,11 @@
 
 // keepSelf keeps the own row as it should be: witnesses, state.
 func (c *Core) keepSelf(now time.Time) {
-	if c.writing {
+	if c.writing || c.mute(now) {
 		return
 	}
 	if c.leaving != "" {
-		c.keepLeaving()
+		c.keepLeaving(now)
 		if c.writing {
 			return
 		}
@@ -108,26 +119,62 @@
 	}
 }
 
-func (c *Core) witnessCandidates(now time.Time) []wire.Member {
-	silent := c.holder.Silent(now)
-	return slices.DeleteFunc(c.openMembers(), func(m wire.Member) bool {
-		return slices.Contains(silent, m.Generation) || m.State == wire.StateLeaving ||
-			m.Instance == c.self.Instance
+// witnessCandidates returns the members that may be witnesses. Of several at one
+// address, only the last to join can answer.
+func (c *Core) witnessCandidates() []wire.Member {
+	latest := make(map[netip.AddrPort]*routes.MemberRow)
+	for _, m := range c.view.Members() {
+		if old := latest[m.Peer]; c.isOther(m) && (old == nil || old.Joined.Before(m.Joined)) {
+			latest[m.Peer] = m
+		}
+	}
+	var out []wire.Member
+	for _, m := range c.view.Members() {
+		if latest[m.Peer] == m && c.mayWitness(m) {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
+func (c *Core) mayWitness(m *routes.MemberRow) bool {
+	_, silent := c.silent[m.Generation]
+	return m.State == wire.StateActive && m.Instance != c.self.Instance && !silent
+}
+
+// noteSilent remembers for a while which witnesses did not answer.
+func (c *Core) noteSilent(now time.Time) {
+	maps.DeleteFunc(c.silent, func(_ wire.Generation, since time.Time) bool {
+		return now.Sub(since) > avoidSilent
 	})
+	for _, g := range c.holder.Silent(now) {
+		c.silent[g] = now
+	}
 }
 
 // wantWitnesses returns a better set of witnesses and why; no reason means that
 // the present set is to stay.
 func (c *Core) wantWitnesses(now time.Time) (want []wire.Generation, why string) {
-	candidates := c.witnessCandidates(now)
+	c.noteSilent(now)
 	var keep []wire.Generation
+	closed := 0
 	for _, g := range c.self.Witnesses {
-		if slices.ContainsFunc(candidates, func(m wire.Member) bool { return m.Generation == g }) {
+		m := c.view.Member(g)
+		if m == nil || m.State == wire.StateClosed {
+			closed++
+		} else if c.mayWitness(m) {
 			keep = append(keep, g)
 		}
 	}
-	want = lease.Choose(c.self, candidates, keep)
+	if len(keep) == lease.MaxWitnesses {
+		return nil, ""
+	}
+	want = lease.Choose(c.self, c.witnessCandidates(), keep)
 	switch {
+	case len(want) < len(c.self.Witnesses)-closed:
+		// One that is merely silent stays until there is another in its place:
+		// without witnesses, nobody could tell that this daemon is lost.
+		return nil, ""
 	case len(keep) < len(c.self.Witnesses) && !slices.Equal(want, c.self.Witnesses):
 		return want, "a witness is gone"
 	case len(want) > len(c.self.Witnesses):
@@ -138,7 +185,7 @@
 }
 
 // keepLeaving takes a planned leave to its end.
-func (c *Core) keepLeaving() {
+func (c *Core) keepLeaving(now time.Time) {
 	switch {
 	case c.self.State == wire.StateActive:
 		next := c.self
@@ -146,12 +193,12 @@
 		c.writeSelf(next, "leave", c.leaving)
 	case c.moving:
 	case c.owned() == 0:
-		c.closeSelf()
-	case len(c.heirs(c.self)) == 0 && !c.draining:
+		c.closeSelf(now)
+	case len(c.heirs(now, c.self)) == 0 && !c.draining:
 		c.draining = true
 		c.emit(Drain{})
 	case c.drained:
-		c.closeSelf()
+		c.closeSelf(now)
 	}
 }
 
@@ -167,10 +214,10 @@
 
 // closeSelf ends the own generation; whatever is still assigned to it falls to
 // the heirs.
-func (c *Core) closeSelf() {
+func (c *Core) closeSelf(now time.Time) {
 	next := c.self
 	next.State = wire.StateClosed
-	next.Heirs = c.heirs(c.self)
+	next.Heirs = c.heirs(now, c.self)
 	// A generation that was not closed by votes proves nothing about the leases
 	// that it witnessed; a closed row without witnesses says so.
 	next.Witnesses = nil
@@ -195,6 +242,10 @@
 	return out
 }
 
+func missing(rows []platform.Row, key string) bool {
+	return slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Key == key && r.Version == 0 })
+}
+
 func tableRows(rows []platform.Row) []wire.Row {
 	out := make([]wire.Row, 0, len(rows))
 	for _, r := range rows {
--- a/control/spread.go
+++ b/control/spread.go
@@ -18,15 +18,16 @@
 // of several rings, each in an order of its own. Together the rings make a
 // random graph in which every daemon is a few steps from every other.
 func (c *Core) neighbours(except wire.Generation) []netip.AddrPort {
-	members := c.openMembers()
-	var chosen []wire.Generation
-	for ring := range min(fanout, len(members)) {
-		if g := next(members, c.self.Generation, uint64(ring), chosen); g != 0 {
-			chosen = append(chosen, g)
+	if changes := c.view.Changes(); changes != c.ringOf {
+		c.ring, c.ringOf = c.ring[:0], changes
+		for ring := range uint64(fanout) {
+			if g := c.next(ring); g != 0 {
+				c.ring = append(c.ring, g)
+			}
 		}
 	}
-	var out []netip.AddrPort
-	for _, g := range chosen {
+	out := make([]netip.AddrPort, 0, len(c.ring))
+	for _, g := range c.ring {
 		if g != except {
 			out = append(out, c.addr(g))
 		}
@@ -34,13 +35,13 @@
 	return out
 }
 
-// next returns the member that follows self on a ring and is not taken yet.
-func next(members []wire.Member, self wire.Generation, ring uint64, taken []wire.Generation) wire.Generation {
+// next returns the member that follows self on a ring and is not chosen yet.
+func (c *Core) next(ring uint64) wire.Generation {
 	var after, first wire.Generation
 	var afterRank, firstRank uint64
-	own := routes.Mix(ring, uint64(self))
-	for _, m := range members {
-		if slices.Contains(taken, m.Generation) {
+	own := routes.Mix(ring, uint64(c.self.Generation))
+	for _, m := range c.view.Members() {
+		if !c.isOther(m) || slices.Contains(c.ring, m.Generation) {
 			continue
 		}
 		rank := routes.Mix(ring, uint64(m.Generation))
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 // orphaned tells whether a member has had too few open witnesses for so long
 // that it has to be presumed lost with them, and self is to act on it.
 func (c *Core) orphaned(now time.Time, m *routes.MemberRow) bool {
-	if m.State == wire.StateClosed || m.Generation == c.self.Generation || len(m.Witnesses) == 0 {
+	if !c.isOther(m) || m.Service != c.self.Service {
 		return false
 	}
 	open := 0
@@ -57,7 +58,7 @@
 			open++
 		}
 	}
-	if _, votes := lease.Quorum(len(m.Witnesses)); open >= votes {
+	if _, votes := lease.Quorum(len(m.Witnesses)); votes > 0 && open >= votes {
 		delete(c.orphans, m.Generation)
 		return false
 	}
@@ -98,7 +99,8 @@
 
 func (c *Core) runTakeovers(now time.Time) {
 	c.closePredecessors(now)
-	for g, t := range c.takeovers {
+	for _, g := range slices.Sorted(maps.Keys(c.takeovers)) {
+		t := c.takeovers[g]
 		if t.writing {
 			continue
 		}
@@ -136,13 +138,13 @@
 	}
 }
 
-func (c *Core) writeTakeover(_ time.Time, g wire.Generation, t *takeover) {
+func (c *Core) writeTakeover(now time.Time, g wire.Generation, t *takeover) {
 	row := c.view.Member(g)
 	if row == nil || row.Version != t.version || row.State == wire.StateClosed {
 		delete(c.takeovers, g)
 		return
 	}
-	heirs := c.heirs(row.Member)
+	heirs := c.heirs(now, row.Member)
 	tx, err := t.attempt.Transaction(c.self, c.version, heirs, c.name(), "its lease ran out")
 	if err != nil {
 		return
@@ -163,25 +165,38 @@
 
 // closePredecessors closes the generations that held the own address before.
 func (c *Core) closePredecessors(now time.Time) {
-	for g, due := range c.predecessor {
+	for _, g := range slices.Sorted(maps.Keys(c.predecessor)) {
 		row := c.view.Member(g)
 		if row == nil || row.State == wire.StateClosed {
 			delete(c.predecessor, g)
 			continue
 		}
-		if now.Before(due) || c.takeovers[g] != nil && c.takeovers[g].writing || !c.storeReady(now) {
-			continue
+		writing := c.takeovers[g] != nil && c.takeovers[g].writing
+		if !writing && c.succeeds(now, row) && c.storeReady(now) {
+			c.closePredecessor(now, row)
 		}
-		c.closePredecessor(now, row)
 	}
 }
 
+// succeeds tells whether a generation at the own address is known to receive
+// nothing there any more.
+func (c *Core) succeeds(now time.Time, row *routes.MemberRow) bool {
+	if c.faults.SucceedAtOnce {
+		return true
+	}
+	since := c.predecessor[row.Generation]
+	if c.leasedSince.After(since) {
+		since = c.leasedSince
+	}
+	return c.leased && now.Sub(since) >= predecessorWait && !row.Joined.After(c.self.Joined)
+}
+
 // closePredecessor writes the close without votes. The row that it writes names
 // no witnesses, so that it does not count as a vote elsewhere.
 func (c *Core) closePredecessor(now time.Time, row *routes.MemberRow) {
 	heirs := []wire.Generation{c.self.Generation}
 	if c.self.State != wire.StateActive {
-		heirs = c.heirs(row.Member)
+		heirs = c.heirs(now, row.Member)
 	}
 	const why = "its successor has held its address since"
 	next := row.Member
@@ -206,8 +221,8 @@
 
 // heirs returns who is to share the slots of a closing generation: those that
 // may own, outside its failure domain where there are any.
-func (c *Core) heirs(m wire.Member) []wire.Generation {
-	overdue := c.witness.Overdue(c.nextUpkeep)
+func (c *Core) heirs(now time.Time, m wire.Member) []wire.Generation {
+	overdue := c.witness.Overdue(now)
 	var near, far []wire.Generation
 	for _, o := range c.view.Snapshot().Members(m.Service) {
 		switch {
--- a/handover/plan.go
+++ b/handover/plan.go
@@ -16,6 +16,10 @@
 	Key string
 	// Split is true if the key is still part of its slot.
 	Split bool
+	// Rejoin is true if the key goes back to its slot.
+	Rejoin bool
+	// Epoch is the one under which the giver owns it.
+	Epoch uint64
 	To    wire.Generation
 }
 
--- a/handover/units.go
+++ b/handover/units.go
@@ -27,6 +27,8 @@
 	frozen chan struct{}
 	// empty is closed when the last request has left a frozen unit.
 	empty chan struct{}
+	// recalls are called when the unit is frozen.
+	recalls map[*func()]struct{}
 }
 
 // NewUnits returns an empty set of units.
@@ -77,7 +79,31 @@
 	}
 }
 
-// Freeze stops admission to a unit and waits until nothing runs in it. If ctx
+// Recall has a function called once if the unit is frozen before stop is called.
+// It is for a request that has entered and not begun: it should leave, rather
+// than keep the unit from changing hands. The function must not block.
+func (u *Units) Recall(unit outcome.Unit, recall func()) (stop func()) {
+	s := u.shard(unit)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.units[unit]
+	if state.frozen != nil {
+		recall()
+		return func() {}
+	}
+	if state.recalls == nil {
+		state.recalls = make(map[*func()]struct{})
+	}
+	key := &recall
+	state.recalls[key] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(state.recalls, key)
+	}
+}
+
+// Freeze stops admission to a unit, recalls what has not begun and waits until nothing runs in it. If ctx
 // ends first, the unit stays frozen until Thaw.
 func (u *Units) Freeze(ctx context.Context, unit outcome.Unit) error {
 	empty := u.stop(unit)
@@ -103,6 +129,9 @@
 	}
 	if state.frozen == nil {
 		state.frozen = make(chan struct{})
+		for recall := range state.recalls {
+			(*recall)()
+		}
 	}
 	if state.running == 0 {
 		return nil
--- /dev/null
+++ b/routes/faults.go
@@ -0,0 +1,20 @@
+package routes
+
+// Option configures a View.
+type Option func(*View)
+
+// WithFaults is a functional option for tests of the proofs only: it breaks
+// rules of this package, so that the proofs can be seen to notice.
+func WithFaults(f Faults) Option {
+	return func(v *View) { v.faults = f }
+}
+
+// Faults are deliberate mistakes for tests of the proofs. The zero value is
+// none.
+type Faults struct {
+	// IgnoreGiven follows the heirs of a closed generation also from a row that
+	// is older than what that generation gave away.
+	IgnoreGiven bool
+	// OlderRows takes in rows that are older than those known.
+	OlderRows bool
+}
--- a/routes/keys.go
+++ b/routes/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"fulmarrun/wire"
@@ -24,6 +25,12 @@
 	return fmt.Sprintf("%s%016x", MemberPrefix, uint64(g))
 }
 
+// memberOf returns the generation whose row has the given key.
+func memberOf(key string) (wire.Generation, bool) {
+	g, err := strconv.ParseUint(strings.TrimPrefix(key, MemberPrefix), 16, 64)
+	return wire.Generation(g), err == nil
+}
+
 // SlotsKey returns the key of the row that holds the given slot.
 func SlotsKey(service string, slot uint32) string {
 	return fmt.Sprintf("%s%s/%08x", SlotsPrefix, service, slot-slot%SlotsPerRow)
--- a/routes/snapshot.go
+++ b/routes/snapshot.go
@@ -28,16 +28,27 @@
 	Slot  uint32
 	// Hot is true if the key is apart from its slot.
 	Hot bool
+	// Transfer names the hand-over that gave it to Owner; zero if there was none.
+	Transfer uint64
+	// Since is when the owner's entry was written; zero if that is not known here.
+	Since wire.Moment
 }
 
 type place struct {
 	owner    *Owner
 	epoch    uint64
 	transfer uint64
+	since    wire.Moment
 	// free is true if any conditional write may assign the slot.
 	free bool
 }
 
+func (p *place) route(slot uint32, hot bool) Route {
+	return Route{
+		Owner: p.owner, Epoch: p.epoch, Slot: slot, Hot: hot, Transfer: p.transfer, Since: p.since,
+	}
+}
+
 type table struct {
 	slots []place
 	hot   map[string]place
@@ -86,11 +97,11 @@
 	slot := SlotOf(key, uint32(len(t.slots)))
 	if len(t.hot) > 0 {
 		if p, hot := t.hot[key]; hot {
-			return Route{Owner: p.owner, Epoch: p.epoch, Slot: slot, Hot: true}, true
+			return p.route(slot, true), true
 		}
 	}
-	p := t.slots[slot]
-	return Route{Owner: p.owner, Epoch: p.epoch, Slot: slot}, true
+	p := &t.slots[slot]
+	return p.route(slot, false), true
 }
 
 // Members returns the members of a service that are not closed. The slice is
@@ -237,7 +248,7 @@
 				break
 			}
 			r := v.Resolve(row, entry, slot, "")
-			t.slots[slot] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer, free: r.Free()}
+			t.slots[slot] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer, since: r.Since, free: r.Free()}
 			t.gaps = t.gaps || !r.Known
 		}
 		for _, h := range row.Hot {
@@ -246,7 +257,7 @@
 				t.hot = make(map[string]place)
 			}
 			t.gaps = t.gaps || !r.Known
-			t.hot[h.Key] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer}
+			t.hot[h.Key] = place{owner: owners[r.Owner], epoch: r.Epoch, transfer: r.Transfer, since: r.Since}
 		}
 	}
 	return t
