Tell since when and why a key has its owner; recall queued requests from a move

- An entry of a slot says when it was written.
With the transfer and the epoch it tells how the owner got the key, which 'key' prints.
- Requests that waited for admission kept their slot from changing hands.
They are recalled from the queue when the slot is frozen, and routed again.
- A target that leaves had its keyed requests refused until its slots had moved.
The queue is paused instead; unkeyed requests are turned away at once.
- A generation reads the same in logs, JSON and the audit trail.

--- a/cli/key.go
+++ b/cli/key.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"fulmarrun/operator"
 )
 
-const keyHelp = `Tell who owns a key of a service, as a daemon knows it: the instance, its failure domain, the slot and the epoch.
+const keyHelp = `Tell who owns a key of a service, as a daemon knows it: the instance, its failure domain, the slot, the epoch, since when and how it came to be the owner.
 
 Examples:
 $ fulmarrun key agenda 17 --daemon 10.0.1.7:7004
@@ -42,10 +43,18 @@
 func keyText(r operator.KeyReply) string {
 	owner := "none"
 	if r.Instance != "" {
-		owner = fmt.Sprintf("%s in domain %s, generation %016x", r.Instance, r.Domain, uint64(r.Generation))
+		owner = fmt.Sprintf("%s in domain %s, generation %s", r.Instance, r.Domain, r.Generation)
 	}
 	if r.Caller.IsValid() {
 		owner += ", caller " + r.Caller.String()
 	}
-	return fmt.Sprintf("owner %s\nslot %d, hot %t, epoch %d\n", owner, r.Slot, r.Hot, r.Epoch)
+	text := fmt.Sprintf("owner %s\nslot %d, hot %t, epoch %d\n", owner, r.Slot, r.Hot, r.Epoch)
+	if r.Instance == "" {
+		return text
+	}
+	since := "not written yet"
+	if !r.Since.IsZero() {
+		since = r.Since.UTC().Format(time.RFC3339)
+	}
+	return text + fmt.Sprintf("since %s: %s\n", since, r.Why)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,9 @@
 	"fulmarrun/wire"
 )
 
+// answerBytes is the longest body of an answer.
+const answerBytes = 8 << 20
+
 // bindTries bounds the search for a port that is free for both TCP and UDP.
 const bindTries = 32
 
@@ -88,6 +91,7 @@
 
 	leaveOnce sync.Once
 	leave     chan string
+	leaving   atomic.Bool
 
 	abortOnce sync.Once
 	aborted   chan struct{}
@@ -113,7 +117,7 @@
 		registry: metrics.NewRegistry(),
 		units:    handover.NewUnits(),
 		hot:      handover.NewHot(),
-		peers:    peer.NewClient(),
+		peers:    peer.NewClient(peer.WithMaxFrame(answerBytes + frameSlack)),
 		leave:    make(chan string, 1),
 		grantNow: make(chan struct{}, 1),
 		aborted:  make(chan struct{}),
@@ -123,7 +127,7 @@
 	}
 	d.gate = admission.NewGate(d.admission...)
 	d.server = owner.NewServer(d.gate, d.units, d.hot)
-	d.client = target.NewClient(target.WithCheck(d.server.CheckFence))
+	d.client = target.NewClient(target.WithCheck(d.server.CheckFence), target.WithLimit(answerBytes))
 	d.server.SetClient(d.client)
 	d.forwarder = forward.NewForwarder(d.server, d.peers, forward.WithAdmission(d.admission...))
 	d.audit = audit.NewWriter(store, audit.WithRegistry(d.registry))
@@ -211,7 +215,10 @@
 
 // Leave starts a planned leave; Run returns when it is done.
 func (d *Daemon) Leave(reason string) {
-	d.leaveOnce.Do(func() { d.leave <- reason })
+	d.leaveOnce.Do(func() {
+		d.leaving.Store(true)
+		d.leave <- reason
+	})
 }
 
 // Abort ends Run as a crash would: nothing is handed over and nothing finishes.
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -157,7 +157,7 @@
 
 // drain waits until nothing runs here, while nothing more is admitted.
 func (i *incarnation) drain(ctx context.Context) {
-	i.d.gate.Pause()
+	i.d.gate.Close()
 	for i.d.gate.Stats().InFlight > 0 {
 		if platform.Sleep(ctx, drainPoll) != nil {
 			return
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -48,7 +48,7 @@
 	switch {
 	case standing.Table == nil:
 		return errors.New("no configuration in force")
-	case standing.Closing:
+	case d.leaving.Load():
 		return errors.New("leaving")
 	default:
 		return nil
@@ -192,6 +192,21 @@
 	if route.Owner != nil {
 		out.Instance, out.Generation, out.Domain = route.Owner.Instance, route.Owner.Generation, route.Owner.Domain
 		out.Caller = route.Owner.Caller
+		out.Since, out.Why = route.Since.Time(), why(route)
 	}
 	return out, nil
 }
+
+// why tells how the owner of a route got it.
+func why(r routes.Route) string {
+	switch {
+	case r.Transfer != 0 && r.Hot:
+		return "handed over as a hot key"
+	case r.Transfer != 0:
+		return "handed over by its owner before"
+	case r.Epoch <= 1:
+		return "first assignment"
+	default:
+		return "its owner before was lost or left it free"
+	}
+}
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -14,6 +14,8 @@
 const (
 	// grantInterval is how often the grant of a target that checks is renewed.
 	grantInterval = 250 * time.Millisecond
+	// reportTimeout bounds the wait for what the target says of itself.
+	reportTimeout = 500 * time.Millisecond
 	// announceLife is how long a target counts as there after its last word.
 	announceLife = 5 * time.Second
 )
@@ -38,14 +40,14 @@
 		d.client.Use(a.Address, a.Checks)
 		d.log.Info("target announced", "instance", d.settings.Instance, "address", a.Address, "checks", a.Checks)
 	}
-	d.gate.Report(admission.Health{
-		Draining: a.State == target.StateLeaving, Unready: a.State == target.StateCold,
-	})
-	if !before.present(now) {
-		d.gate.Resume()
-	}
-	if a.State == target.StateLeaving && before.State != target.StateLeaving {
+	switch {
+	case a.State == target.StateLeaving:
+		// Keyed requests wait in the paused queue until their slots have moved.
+		d.gate.Pause()
+		d.server.TurnAway()
 		d.Leave("its target leaves")
+	case !before.present(now):
+		d.gate.Resume()
 	}
 }
 
@@ -136,8 +138,11 @@
 		case <-ticker.C:
 		}
 		d.targetMu.Lock()
-		now := d.target.present(time.Now())
+		now, state := d.target.present(time.Now()), d.target.State
 		d.targetMu.Unlock()
+		if now {
+			d.reportHealth(ctx, state)
+		}
 		if present && !now {
 			d.gate.Pause()
 			d.log.Warn("target not heard of", "instance", d.settings.Instance)
@@ -146,3 +151,19 @@
 		d.server.Expire()
 	}
 }
+
+// reportHealth asks the target how it is; the answer can only lower what the
+// target is given.
+func (d *Daemon) reportHealth(ctx context.Context, state target.State) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	health := admission.Health{Unready: state == target.StateCold}
+	if report, err := d.client.Report(ctx); err == nil {
+		health.Unready = health.Unready || !report.Good
+		health.Limit = report.Load.Capacity
+		if report.Load.Capacity > 0 {
+			health.Load = float64(report.Load.Running) / float64(report.Load.Capacity)
+		}
+	}
+	d.gate.Report(health)
+}
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -113,9 +113,14 @@
 	Hot bool `json:"hot"`
 	// Instance is the owner; empty if there is none.
 	Instance   string          `json:"instance"`
-	Generation wire.Generation `json:"generation,string"`
+	Generation wire.Generation `json:"generation"`
 	Domain     string          `json:"domain"`
 	Epoch      uint64          `json:"epoch"`
+	// Since is when the owner got it, by its own clock; zero if that is not known
+	// yet.
+	Since time.Time `json:"since"`
+	// Why is how the owner got it.
+	Why string `json:"why"`
 	// Caller is where the owner takes the requests of callers.
 	Caller netip.AddrPort `json:"caller"`
 }
--- a/operator/status.go
+++ b/operator/status.go
@@ -11,7 +11,7 @@
 // Instance is what one daemon said about itself.
 type Instance struct {
 	Instance   string          `json:"instance"`
-	Generation wire.Generation `json:"generation,string"`
+	Generation wire.Generation `json:"generation"`
 	Service    string          `json:"service"`
 	Domain     string          `json:"domain"`
 	// State is "active", "leaving" or "closed".
--- a/owner/server.go
+++ b/owner/server.go
@@ -46,6 +46,7 @@
 	standing atomic.Pointer[Standing]
 	lease    *leaseClock
 	running  atomic.Int64
+	away     atomic.Bool
 }
 
 // NewServer returns a server that refuses everything until Publish.
@@ -85,6 +86,10 @@
 	}
 }
 
+// TurnAway refuses requests of unkeyed kinds from now on: other members can serve
+// them. Keyed requests wait for their slot to change hands.
+func (s *Server) TurnAway() { s.away.Store(true) }
+
 // Lapse cancels all keyed requests that run at the target.
 func (s *Server) Lapse() { s.lease.lapse() }
 
@@ -124,6 +129,9 @@
 	ctx, cancel := within(ctx, req.Wait)
 	defer cancel()
 	if !kind.Keyed() {
+		if s.away.Load() {
+			return wire.Refuse(admission.ReasonDraining, leaseRetry)
+		}
 		return s.run(ctx, &job{req: req, kind: kind, lease: context.Background()})
 	}
 	return s.serveKeyed(ctx, req, kind)
@@ -236,9 +244,10 @@
 // run passes admission and hands the request to the target.
 func (s *Server) run(ctx context.Context, j *job) *wire.Response {
 	deadline, _ := ctx.Deadline()
-	permit, err := s.gate.Enter(ctx, admission.Ticket{
-		Class: admission.Class(j.kind.Class), Deadline: deadline, Depth: j.req.Depth,
-	})
+	permit, recalled, err := s.admit(ctx, j, deadline)
+	if recalled {
+		return wire.Misrouted()
+	}
 	if err != nil {
 		return refusal(err)
 	}
@@ -251,6 +260,24 @@
 	return response
 }
 
+// admit waits until the target may be given the request. A keyed request whose
+// slot is about to change hands is recalled from the queue.
+func (s *Server) admit(ctx context.Context, j *job, deadline time.Time) (p admission.Permit, recalled bool, err error) {
+	ticket := admission.Ticket{
+		Class: admission.Class(j.kind.Class), Deadline: deadline, Depth: j.req.Depth,
+	}
+	if j.fence.Epoch == 0 {
+		p, err = s.gate.Enter(ctx, ticket)
+		return p, false, err
+	}
+	queue, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := s.units.Recall(j.unit, cancel)
+	defer stop()
+	p, err = s.gate.Enter(queue, ticket)
+	return p, err != nil && queue.Err() != nil && ctx.Err() == nil, err
+}
+
 // dispatch hands the request to the target. A target that has not been granted
 // the slot yet, or knows a later epoch, rejects it; it is then routed again.
 func (s *Server) dispatch(ctx context.Context, j *job) (*wire.Response, error) {
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -9,6 +9,7 @@
 
 //msgp:shim Generation as:uint64 using:uint64/Generation
 //msgp:shim Outcome as:uint8 using:uint8/Outcome
+//msgp:shim Moment as:uint32 using:uint32/Moment
 //msgp:shim State as:uint8 using:uint8/State
 //msgp:shim netip.AddrPort as:string using:addrPortString/addrPortParse mode:convert
 //msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey Given Memory Record Version Vote Verdict
@@ -17,6 +18,10 @@
 // zero; a restarted daemon has a new one.
 type Generation uint64
 
+// Moment is a moment of the wall clock in whole seconds since the Unix epoch,
+// which is enough for people to read and short in rows.
+type Moment uint32
+
 // Heartbeat is the only datagram: it asks a witness to renew a lease, or
 // answers such a request.
 type Heartbeat struct {
@@ -146,6 +151,8 @@
 	// Transfer names the hand-over that gave the slot to Owner; zero if Owner has
 	// it by assignment or by the loss of another.
 	Transfer uint64
+	// Since is when this entry was written for Owner.
+	Since Moment
 }
 
 // HotKey is the ownership of one key that is apart from its slot.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -998,6 +998,34 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Moment) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint32(o, uint32(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Moment) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint32
+		zb0001, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Moment(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Moment) Msgsize() (s int) {
+	s = msgp.Uint32Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Object) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1670,13 +1698,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Slot) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Slot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, uint64(z.Owner))
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendUint64(o, z.Transfer)
+	o = msgp.AppendUint32(o, uint32(z.Since))
 	return
 }
 
@@ -1688,8 +1717,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	{
@@ -1711,13 +1740,22 @@
 		err = msgp.WrapError(err, "Transfer")
 		return
 	}
+	{
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Since")
+			return
+		}
+		z.Since = Moment(zb0003)
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Slot) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
+func (z *Slot) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint32Size
 	return
 }
 
