--- a/routes/view.go
+++ b/routes/view.go
@@ -231,9 +231,6 @@
 	// Since is when the entry was written for Owner; zero if Owner inherits it from
 	// a closed generation that the entry still names.
 	Since wire.Moment
-	// Since is when the entry was written for Owner; zero if Owner inherits it from
-	// a closed generation that the entry still names.
-	Since wire.Moment
 	// Known is false if the chain leads to a generation whose row is not known
 	// here; the slot is then neither owned nor free as far as this view goes.
 	Known bool
