peer, wire: bound what a frame can claim, and end what a peer left half done

Decode now walks the value first, with bounds for elements and depth; schema.go may carry msgp:limit besides. - A server whose write timed out (peer paused for over 1 s) kept the connection open with half a frame on it, so that no later reply could be read. A failed write now closes the connection. - One answer of 4 to 8 MiB, which a target may give, was over the client's limit and ended the connection with all calls on it. The limit is 16 MiB, and a longer frame is not sent: the call alone fails. - A handler that returned an error sent nothing, so that its caller waited until its deadline. A frame says now that the call failed (ErrFailed). - A connection with 4,096 calls stopped reading, also cancellations and votes; two daemons full of each other's calls would wait for their deadlines. More calls are refused now (ErrRefused), which is known not to have begun. - Close and Retain left a dial in flight to open a connection that nobody closed. - A call given up on wrote its cancellation itself and could be held for 1 s. - A frame that can't be encoded left frames before it unflushed. - A repeated ID of a running call replaced its cancellation; it ends the connection.

--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,10 @@
 	ErrNotSent = errors.New("call not sent")
 	// ErrBroken is returned if the connection ended before the reply came.
 	ErrBroken = errors.New("connection ended before the reply")
+	// ErrRefused is returned if the peer did not begin the call.
+	ErrRefused = errors.New("peer refused the call")
+	// ErrFailed is returned if the peer began the call and has no reply to it.
+	ErrFailed = errors.New("peer failed the call")
 )
 
 const (
@@ -41,8 +45,9 @@
 	late atomic.Uint64
 	next atomic.Uint64
 
-	mu    sync.Mutex
-	links map[netip.AddrPort]*link
+	mu     sync.Mutex
+	links  map[netip.AddrPort]*link
+	closed bool
 }
 
 // NewClient returns a client without connections.
@@ -61,29 +66,40 @@
 		return nil, fmt.Errorf("connect %s: %w", addr, err)
 	}
 	id := c.next.Add(1)
-	w := &waiter{reply: make(chan error, 1), message: PR(new(R))}
+	w := &waiter{kind: kind, reply: make(chan error, 1), message: PR(new(R))}
 	if err := conn.send(kind, id, q, w); err != nil {
 		return nil, fmt.Errorf("call %s: %w", addr, err)
 	}
 	select {
 	case err := <-w.reply:
-		if err != nil {
-			return nil, fmt.Errorf("call %s: %w", addr, err)
-		}
-		reply, _ := w.message.(PR)
-		return reply, nil
+		return received[R, PR](addr, w, err)
 	case <-ctx.Done():
-		if conn.forget(id) {
-			_ = conn.writer.write(KindCancel, id, &wire.Cancel{Reason: "given up"})
+		if !conn.forget(id) {
+			return received[R, PR](addr, w, <-w.reply)
 		}
+		// The connection may be held up by a peer that does not read.
+		go conn.cancel(id)
 		return nil, fmt.Errorf("call %s: %w", addr, context.Cause(ctx))
 	}
 }
 
-// Close ends all connections.
+// received returns the reply that w waited for, or the error in its place.
+func received[R any, PR interface {
+	*R
+	wire.Message
+}](addr netip.AddrPort, w *waiter, err error) (PR, error) {
+	if err != nil {
+		return nil, fmt.Errorf("call %s: %w", addr, err)
+	}
+	reply, _ := w.message.(PR)
+	return reply, nil
+}
+
+// Close ends all connections. Later calls are not sent.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for _, l := range c.links {
 		l.close()
 	}
@@ -119,7 +135,7 @@
 	defer c.mu.Unlock()
 	l := c.links[addr]
 	if l == nil {
-		l = &link{addr: addr}
+		l = &link{addr: addr, closed: c.closed}
 		c.links[addr] = l
 	}
 	return l
@@ -135,11 +151,18 @@
 	dialing chan struct{}
 	refused time.Time
 	lastErr error
+	// closed is true once no connection is wanted any more.
+	closed bool
 }
 
+var errClosed = errors.New("client closed")
+
 func (l *link) live() bool { return l.conn.Load() != nil }
 
 func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	if conn := l.conn.Load(); conn != nil {
 		conn.fail(ErrBroken)
 	}
@@ -172,6 +195,9 @@
 func (l *link) dial(c *Client) (<-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, errClosed)
+	}
 	if l.dialing != nil {
 		return l.dialing, nil
 	}
@@ -192,6 +218,11 @@
 			l.refused = time.Now()
 			return
 		}
+		if l.closed {
+			_ = raw.Close()
+			l.lastErr = fmt.Errorf("%w: %w", ErrNotSent, errClosed)
+			return
+		}
 		conn := newClientConn(c, l, raw)
 		l.conn.Store(conn)
 		go conn.read()
@@ -200,6 +231,7 @@
 }
 
 type waiter struct {
+	kind    Kind
 	message wire.Message
 	reply   chan error
 }
@@ -231,12 +263,24 @@
 	}
 	c.waiters[id] = w
 	c.mu.Unlock()
-	if err := c.writer.write(kind, id, q); err != nil {
+	err := c.writer.write(kind, id, q)
+	switch {
+	case errors.Is(err, errEncode):
+		c.forget(id)
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	case err != nil:
 		c.fail(err)
 	}
 	return nil
 }
 
+// cancel tells the peer that nobody waits for the call any more.
+func (c *clientConn) cancel(id uint64) {
+	if err := c.writer.write(KindCancel, id, &wire.Cancel{Reason: "given up"}); err != nil {
+		c.fail(err)
+	}
+}
+
 func (c *clientConn) forget(id uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -255,26 +299,43 @@
 
 func (c *clientConn) read() {
 	reader := NewFrameReader(c.raw, c.client.opts.maxFrame)
+	reader.fill = c.client.opts.fill
 	for {
 		frame, err := reader.Next()
 		if err != nil {
 			c.fail(err)
 			return
 		}
-		w := c.take(frame.ID)
+		w := c.client.opts.match(c, frame.ID)
 		if w == nil {
 			c.client.late.Add(1)
 			continue
 		}
-		if frame.Kind&replyBit == 0 {
+		switch frame.Kind {
+		case w.kind | replyBit:
+			w.reply <- wire.Decode(frame.Body, w.message)
+		case kindFailed | replyBit:
+			w.reply <- failure(frame.Body)
+		default:
 			w.reply <- fmt.Errorf("kind %d in a reply: %w", frame.Kind, ErrBroken)
 			c.fail(errBadFrame)
 			return
 		}
-		w.reply <- wire.Decode(frame.Body, w.message)
 	}
 }
 
+// failure returns the error that stands in place of a reply.
+func failure(body []byte) error {
+	var ack wire.Ack
+	if err := wire.Decode(body, &ack); err != nil {
+		return fmt.Errorf("%w: %w", ErrFailed, err)
+	}
+	if ack.OK {
+		return fmt.Errorf("%w: %s", ErrFailed, ack.Reason)
+	}
+	return fmt.Errorf("%w: %s", ErrRefused, ack.Reason)
+}
+
 // fail ends the connection and everyone who waits on it.
 func (c *clientConn) fail(cause error) {
 	c.link.conn.CompareAndSwap(c, nil)
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -6,8 +6,10 @@
 // A frame is a four-byte length, a one-byte kind, an eight-byte ID and a msgpack
 // body, integers big-endian. The length counts what follows it. A reply has the
 // ID of its call and the kind with the top bit set; a reply that nobody waits
-// for is dropped and counted. A frame that is too long or does not decode ends
-// its connection, since nothing after it can be trusted.
+// for is dropped and counted. A call that has no reply of its own is answered by
+// a frame that says whether it had begun. A frame that is too long, does not
+// decode or repeats the ID of a running call ends its connection, since nothing
+// after it can be trusted.
 //
 // # Usage
 //
@@ -22,6 +24,7 @@
 //
 // # Errors
 //
-// ErrNotSent says that no byte of the call has left this process. Every other
-// error leaves open whether the peer has acted on the call.
+// ErrNotSent says that no byte of the call has left this process, and ErrRefused
+// that the peer did not begin it. Every other error leaves open whether the peer
+// has acted on the call.
 package peer
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -33,6 +33,10 @@
 	// KindStatus asks a daemon for its status.
 	KindStatus
 
+	// kindFailed, with the bit of a reply, answers a call that has no reply of its
+	// own; its body is an Ack that is true if the call had begun.
+	kindFailed Kind = 0x7f
+
 	replyBit Kind = 0x80
 )
 
@@ -40,8 +44,9 @@
 	lengthBytes = 4
 	headerBytes = 9
 
-	// DefaultMaxFrame is the longest frame accepted, in bytes.
-	DefaultMaxFrame = 4 << 20
+	// DefaultMaxFrame is the longest frame, in bytes. It has room for the longest
+	// answer of a target.
+	DefaultMaxFrame = 16 << 20
 	bufferBytes     = 32 << 10
 	// maxPooledBytes bounds the buffers that are kept for reuse.
 	maxPooledBytes = 256 << 10
@@ -61,7 +66,8 @@
 	Body []byte
 }
 
-// AppendFrame appends the encoded frame with body m to buf.
+// AppendFrame appends the encoded frame with body m to buf. It returns buf as it
+// was, and ErrFrameTooLong, for a frame over DefaultMaxFrame.
 func AppendFrame(buf []byte, kind Kind, id uint64, m msgp.Marshaler) ([]byte, error) {
 	start := len(buf)
 	buf = append(buf, 0, 0, 0, 0, byte(kind))
@@ -70,20 +76,25 @@
 	if err != nil {
 		return buf[:start], fmt.Errorf("encode frame body: %w", err)
 	}
-	binary.BigEndian.PutUint32(buf[start:], uint32(len(buf)-start-lengthBytes))
+	length := len(buf) - start - lengthBytes
+	if length > DefaultMaxFrame {
+		return buf[:start], fmt.Errorf("%d bytes: %w", length, ErrFrameTooLong)
+	}
+	binary.BigEndian.PutUint32(buf[start:], uint32(length))
 	return buf, nil
 }
 
 // FrameReader reads frames from a stream.
 type FrameReader struct {
-	r   *bufio.Reader
-	max int
-	buf []byte
+	r    *bufio.Reader
+	max  int
+	buf  []byte
+	fill func(io.Reader, []byte) (int, error)
 }
 
 // NewFrameReader returns a reader of frames no longer than limit bytes.
 func NewFrameReader(r io.Reader, limit int) *FrameReader {
-	return &FrameReader{r: bufio.NewReaderSize(r, bufferBytes), max: limit}
+	return &FrameReader{r: bufio.NewReaderSize(r, bufferBytes), max: limit, fill: io.ReadFull}
 }
 
 // Next returns the next frame. Its body is overwritten by the call after it.
@@ -127,7 +138,7 @@
 			f.buf = append(f.buf, make([]byte, step)...)
 		}
 		f.buf = f.buf[:start+step]
-		if _, err := io.ReadFull(f.r, f.buf[start:]); err != nil {
+		if _, err := f.fill(f.r, f.buf[start:]); err != nil {
 			return nil, fmt.Errorf("read frame body: %w", err)
 		}
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,10 +23,17 @@
 type options struct {
 	maxFrame int
 	maxCalls int
+
+	// The seams are replaced by tests alone.
+	fill  func(io.Reader, []byte) (int, error)
+	match func(*clientConn, uint64) *waiter
 }
 
 func newOptions(opts []Option) options {
-	o := options{maxFrame: DefaultMaxFrame, maxCalls: DefaultMaxCalls}
+	o := options{
+		maxFrame: DefaultMaxFrame, maxCalls: DefaultMaxCalls,
+		fill: io.ReadFull, match: (*clientConn).take,
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -39,7 +47,7 @@
 }
 
 // WithMaxCalls is a functional option that sets how many calls one connection
-// may have running at a server.
+// may have running at a server; more are refused.
 func WithMaxCalls(n int) Option {
 	return func(o *options) { o.maxCalls = n }
 }
@@ -153,7 +161,6 @@
 		server:  s,
 		writer:  newFrameWriter(conn),
 		running: make(map[uint64]context.CancelFunc),
-		slots:   make(chan struct{}, s.opts.maxCalls),
 	}
 	defer c.wg.Wait()
 	defer cancel()
@@ -185,7 +192,6 @@
 type serverConn struct {
 	server *Server
 	writer *frameWriter
-	slots  chan struct{}
 	wg     sync.WaitGroup
 
 	mu      sync.Mutex
@@ -205,14 +211,43 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errBadFrame, err)
 	}
-	c.slots <- struct{}{}
 	callCtx, cancel := context.WithCancel(ctx)
+	switch c.begin(frame.ID, cancel) {
+	case begun:
+		c.wg.Add(1)
+		go c.run(callCtx, cancel, frame.Kind, frame.ID, call)
+		return nil
+	case full:
+		cancel()
+		return c.writer.write(kindFailed|replyBit, frame.ID, &wire.Ack{Reason: "full"})
+	default:
+		cancel()
+		return fmt.Errorf("ID %d is in use: %w", frame.ID, errBadFrame)
+	}
+}
+
+// admission is whether a call may begin.
+type admission uint8
+
+const (
+	begun admission = iota
+	full
+	duplicate
+)
+
+func (c *serverConn) begin(id uint64, cancel context.CancelFunc) admission {
 	c.mu.Lock()
-	c.running[frame.ID] = cancel
-	c.mu.Unlock()
-	c.wg.Add(1)
-	go c.run(callCtx, cancel, frame.Kind, frame.ID, call)
-	return nil
+	defer c.mu.Unlock()
+	if _, used := c.running[id]; used {
+		return duplicate
+	}
+	// Waiting here would keep votes and cancellations from being read, and two
+	// daemons full of each other's calls would wait for ever.
+	if len(c.running) >= c.server.opts.maxCalls {
+		return full
+	}
+	c.running[id] = cancel
+	return begun
 }
 
 func (c *serverConn) run(ctx context.Context, cancel context.CancelFunc, kind Kind, id uint64,
@@ -225,9 +260,12 @@
 	delete(c.running, id)
 	c.mu.Unlock()
 	if err == nil {
-		_ = c.writer.write(kind|replyBit, id, reply)
+		err = c.writer.write(kind|replyBit, id, reply)
+	}
+	if err != nil {
+		// It has no effect on a connection that has ended.
+		_ = c.writer.write(kindFailed|replyBit, id, &wire.Ack{OK: true, Reason: err.Error()})
 	}
-	<-c.slots
 }
 
 func (c *serverConn) cancel(id uint64) {
--- a/peer/writer.go
+++ b/peer/writer.go
@@ -8,11 +8,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 )
 
 const writeTimeout = time.Second
 
+// errEncode is returned for a frame that can't be sent at all.
+var errEncode = errors.New("frame not encoded")
+
 // frameWriter lets many goroutines write frames to one stream. The last of
 // those that write at the same time flushes for all.
 type frameWriter struct {
@@ -29,6 +33,8 @@
 	return &frameWriter{conn: conn, w: bufio.NewWriterSize(conn, bufferBytes)}
 }
 
+// write queues one frame. An error that wraps errEncode concerns this frame
+// alone, of which no byte is sent; any other ends the connection.
 func (f *frameWriter) write(kind Kind, id uint64, m msgp.Marshaler) error {
 	f.waiting.Add(1)
 	f.mu.Lock()
@@ -37,25 +43,33 @@
 	if f.err != nil {
 		return f.err
 	}
-	buf, err := AppendFrame(f.buf[:0], kind, id, m)
-	if err != nil {
-		return err
-	}
+	// A peer that no longer reads must not hold up those who call it.
+	_ = f.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	buf, failed := AppendFrame(f.buf[:0], kind, id, m)
 	if cap(buf) <= maxPooledBytes {
 		f.buf = buf
 	}
-	// A peer that no longer reads must not hold up those who call it.
-	_ = f.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := f.w.Write(buf); err != nil {
-		f.err = fmt.Errorf("write frame: %w", err)
-		return f.err
+	if failed == nil {
+		if _, err := f.w.Write(buf); err != nil {
+			return f.end(fmt.Errorf("write frame: %w", err))
+		}
 	}
-	if !last {
-		return nil
+	// Also if this frame is not sent, those before it wait for the last to flush.
+	if last {
+		if err := f.w.Flush(); err != nil {
+			return f.end(fmt.Errorf("flush frames: %w", err))
+		}
 	}
-	if err := f.w.Flush(); err != nil {
-		f.err = fmt.Errorf("flush frames: %w", err)
-		return f.err
+	if failed != nil {
+		return fmt.Errorf("%w: %w", errEncode, failed)
 	}
 	return nil
 }
+
+// end closes the connection: what follows a frame that was sent in part could not
+// be read.
+func (f *frameWriter) end(err error) error {
+	f.err = err
+	_ = f.conn.Close()
+	return err
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -8,8 +8,20 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
-// ErrTrailing is returned by Decode if bytes follow the value.
-var ErrTrailing = errors.New("trailing bytes after the value")
+const (
+	// maxElements is the greatest number of elements of one array or map.
+	maxElements = 1 << 17
+	// maxDepth is how deep arrays and maps may be nested.
+	maxDepth = 8
+)
+
+var (
+	// ErrTrailing is returned by Decode if bytes follow the value.
+	ErrTrailing = errors.New("trailing bytes after the value")
+	// ErrElements is returned by Decode for an array or map that is too large, or
+	// nested too deeply.
+	ErrElements = errors.New("too many elements")
+)
 
 // Message is a pointer to a generated type.
 type Message interface {
@@ -26,18 +38,55 @@
 	return data, nil
 }
 
-// Decode fills m from data, which must hold exactly one value.
+// Decode fills m from data, which must hold exactly one value. What m then holds
+// shares no memory with data.
 func Decode(data []byte, m msgp.Unmarshaler) error {
-	rest, err := m.UnmarshalMsg(data)
+	// The generated code makes room for as many elements as are declared, so that
+	// they must be seen to be there first.
+	rest, err := skip(data, 0)
 	if err != nil {
 		return fmt.Errorf("decode %T: %w", m, err)
 	}
 	if len(rest) > 0 {
 		return fmt.Errorf("decode %T: %w", m, ErrTrailing)
 	}
+	if _, err := m.UnmarshalMsg(data); err != nil {
+		return fmt.Errorf("decode %T: %w", m, err)
+	}
 	return nil
 }
 
+// skip returns what follows the first value of data.
+func skip(data []byte, depth int) ([]byte, error) {
+	var n uint32
+	var err error
+	switch msgp.NextType(data) {
+	case msgp.ArrayType:
+		n, data, err = msgp.ReadArrayHeaderBytes(data)
+	case msgp.MapType:
+		n, data, err = msgp.ReadMapHeaderBytes(data)
+		n = min(n, maxElements) * 2
+	default:
+		data, err = msgp.Skip(data)
+		if err != nil {
+			return nil, fmt.Errorf("skip value: %w", err)
+		}
+		return data, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read header: %w", err)
+	}
+	if n > maxElements || depth == maxDepth {
+		return nil, ErrElements
+	}
+	for range n {
+		if data, err = skip(data, depth+1); err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
 func addrPortString(a netip.AddrPort) (string, error) {
 	if !a.IsValid() {
 		return "", nil
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,127 @@
+package wire_test
+
+import (
+	"bytes"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"fulmarrun/wire"
+)
+
+// samples holds one message of each type; each call makes them anew.
+func samples() []wire.Message {
+	header := []wire.Header{{Name: "Accept", Value: "*/*"}}
+	addr := netip.MustParseAddrPort("[::1]:7001")
+	at := time.Unix(1_700_000_000, 5).UTC()
+	return []wire.Message{
+		&wire.Heartbeat{Answer: true, From: 1, To: 2, Seq: 3, Digest: 4},
+		&wire.Request{Service: "s", Kind: "k", Key: "x", ID: "i", Fresh: true, Epoch: 2, Wait: time.Second, Depth: 1, Method: "GET", Path: "/", Headers: header, Body: []byte("b")},
+		&wire.Response{Outcome: wire.OutcomeAnswered, Status: 200, Reason: "r", RetryAfter: 1, Headers: header, Body: []byte("b")},
+		&wire.Cancel{Reason: "r"},
+		&wire.Member{Instance: "i", Generation: 1, Peer: addr, Caller: addr, Witnesses: []wire.Generation{2}, Heirs: []wire.Generation{3}, Given: []wire.Given{{First: 32, Number: 2}}, Joined: at},
+		&wire.Slots{Service: "s", Count: 8, Number: 1, Slots: []wire.Slot{{Owner: 1, Epoch: 2}}, Hot: []wire.HotKey{{Key: "k", Slot: wire.Slot{Owner: 1}}}},
+		&wire.Current{Number: 1, Digest: "d", At: at, Sections: []string{"a"}, Recent: []wire.Accepted{{Number: 1, Change: "c"}}},
+		&wire.Rows{From: 1, Rows: []wire.Row{{Key: "k", Version: 1, Value: []byte("v"), Deleted: true}}},
+		&wire.Summary{From: 1, Buckets: []uint64{1}, Config: 2},
+		&wire.Versions{From: 1, Buckets: []uint32{1}, Have: []wire.Version{{Key: "k", Version: 1}}},
+		&wire.Fetch{Digest: "d"}, &wire.Object{Data: []byte("d")},
+		&wire.Vote{From: 1, Holder: 2}, &wire.Verdict{Holder: 2, Expired: true, Wait: 3},
+		&wire.Memory{Service: "s", Slot: 1, Since: at, Records: []wire.Record{{ID: "i", Done: true, At: at, Headers: header, Body: []byte("b")}}},
+		&wire.Ack{OK: true, Reason: "r"}, &wire.Status{Instance: "i", Lease: 1}, &wire.Query{From: 1},
+	}
+}
+
+func blank(m wire.Message) wire.Message {
+	out, _ := reflect.New(reflect.TypeOf(m).Elem()).Interface().(wire.Message)
+	return out
+}
+
+func TestDecode(t *testing.T) {
+	for _, m := range samples() {
+		data, err := wire.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := blank(m)
+		if err := wire.Decode(data, got); err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		clear(data)
+		again, _ := wire.Encode(got)
+		want, _ := wire.Encode(m)
+		if !bytes.Equal(again, want) {
+			t.Errorf("%T shares memory with what it was decoded from", m)
+		}
+		for n := range want {
+			if wire.Decode(want[:n], blank(m)) == nil {
+				t.Errorf("%T: %d of %d bytes decode", m, n, len(want))
+			}
+		}
+		if err := wire.Decode(append(want, 0xc0), blank(m)); !errors.Is(err, wire.ErrTrailing) {
+			t.Errorf("%T with a byte more: %v", m, err)
+		}
+	}
+}
+
+// A few bytes that declare thousands of millions of elements must not claim
+// their memory.
+func TestDecodeBoundsMemory(t *testing.T) {
+	summary := append(msgp.AppendString(msgp.AppendMapHeader(nil, 1), "b"), 0xdd, 0xff, 0xff, 0xff, 0xff)
+	large := msgp.AppendArrayHeader(msgp.AppendString(msgp.AppendMapHeader(nil, 1), "b"), 1<<20)
+	deep := bytes.Repeat([]byte{0x91}, 1<<20)
+	for name, data := range map[string][]byte{
+		"declared only": summary, "there and too many": append(large, make([]byte, 1<<20)...), "nested": deep,
+	} {
+		allocated := testing.AllocsPerRun(1, func() {
+			if err := wire.Decode(data, &wire.Summary{}); err == nil {
+				t.Errorf("%s: accepted", name)
+			}
+		})
+		if allocated > 100 {
+			t.Errorf("%s: %v allocations", name, allocated)
+		}
+	}
+}
+
+func FuzzHeartbeat(f *testing.F) {
+	data, _ := wire.Encode(samples()[0])
+	f.Add(data)
+	f.Add([]byte{0x95, 0xc2, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, data []byte) { decodeEncode(t, data, &wire.Heartbeat{}) })
+}
+
+func FuzzMessages(f *testing.F) {
+	for i, m := range samples() {
+		data, _ := wire.Encode(m)
+		f.Add(uint8(i), data)
+	}
+	f.Add(uint8(8), []byte{0x81, 0xa1, 'b', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, which uint8, data []byte) {
+		all := samples()
+		decodeEncode(t, data, blank(all[int(which)%len(all)]))
+	})
+}
+
+// decodeEncode checks that what decodes stays the same through a round.
+func decodeEncode(t *testing.T, data []byte, m wire.Message) {
+	if wire.Decode(data, m) != nil {
+		return
+	}
+	first, err := wire.Encode(m)
+	if err != nil {
+		t.Fatalf("%T: %v", m, err)
+	}
+	next := blank(m)
+	if err := wire.Decode(first, next); err != nil {
+		t.Fatalf("%T: %v", m, err)
+	}
+	second, _ := wire.Encode(next)
+	if !bytes.Equal(first, second) {
+		t.Fatalf("%T: %x becomes %x", m, first, second)
+	}
+}
