--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -83,6 +83,9 @@
 	ports map[uint16]bool
 }
 
+// fileSlots is the number of slots in file.
+const fileSlots = 64
+
 const file = `{
   "services": [
     {"name": "agenda", "slots": 64, "kinds": [
--- a/e2e/loss_test.go
+++ b/e2e/loss_test.go
@@ -59,8 +59,8 @@
 	for n := range *lossKills {
 		d.settled()
 		key := fmt.Sprint(random.IntN(200))
-		victim := d.owner(key)
 		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		victim := d.owner(key)
 		for name, took := range d.lose(victim, key) {
 			times[name] = append(times[name], took)
 			t.Logf("%d: %s of %s, key %s: %s after %s", n, *lossFault, victim.name, key, name, took.Round(time.Millisecond))
@@ -152,7 +152,8 @@
 	}
 }
 
-// settled waits until all instances are active, hold a lease and own slots.
+// settled waits until all instances are active, hold a lease and own an equal
+// share of the slots.
 func (d *deployment) settled() {
 	d.t.Helper()
 	until(d.t, 60*time.Second, "all instances are settled", func() bool {
@@ -160,12 +161,14 @@
 		if err != nil || len(status.Silent) > 0 || len(status.Instances) != len(d.instances) {
 			return false
 		}
+		least, most := fileSlots, 0
 		for _, i := range status.Instances {
-			if i.State != "active" || i.Lease == 0 || i.Slots == 0 {
+			if i.State != "active" || i.Lease == 0 {
 				return false
 			}
+			least, most = min(least, i.Slots), max(most, i.Slots)
 		}
-		return true
+		return least > 0 && most-least <= 1
 	})
 }
 
