--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -241,7 +242,7 @@
 		}
 		_, _ = c.Write(garbage)
 		_ = c.SetReadDeadline(time.Now().Add(patience))
-		if _, err := io.ReadAll(c); errors.Is(err, context.DeadlineExceeded) {
+		if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("garbage %d: still open", i)
 		}
 		_ = c.Close()
@@ -267,7 +268,7 @@
 	}
 	time.Sleep(1500 * time.Millisecond)
 	_ = c.SetReadDeadline(time.Now().Add(patience))
-	if _, err := io.Copy(io.Discard, c); errors.Is(err, context.DeadlineExceeded) {
+	if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Error("the connection is still open")
 	}
 }
