--- a/lease/script_test.go
+++ b/lease/script_test.go
@@ -89,6 +89,23 @@
 	}
 }
 
+// shortPause stops two witnesses of the owner for less than they notice, and
+// loses all that it sends afterwards.
+func shortPause() *script {
+	return &script{
+		sets: [daemons][]int{{1, 2, 3}, {2, 3, 4}, {1, 3, 4}, {1, 2, 4}, {1, 2, 3}},
+		faults: func(w *world) {
+			until := w.now + 450*time.Millisecond
+			w.procs[1].pausedUntil, w.procs[2].pausedUntil = until, until
+			w.after(440*time.Millisecond, func() {
+				for j := range w.procs {
+					w.cut[0][j] = true
+				}
+			})
+		},
+	}
+}
+
 // freeze stops all traffic for two seconds in an outage of the table.
 func freeze() *script {
 	return &script{
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -27,6 +27,7 @@
 // those of the lease.
 type mistakes struct {
 	olderRows   bool // a row older than the one known is taken
+	earlyNow    bool // the time is read before a heartbeat is received
 	cachedCheck bool // the lease isn't checked again before dispatch
 	freeMoves   bool // a move isn't conditional on the mover's own row
 	noMargin    bool
