admission: restart of the gate; drop the balancer

A daemon that hears of a new target knows that nothing learned holds any more, and need not wait for it to slow down or shed.

--- a/admission/core.go
+++ b/admission/core.go
@@ -489,6 +489,12 @@
 	c.health = report{Health: h, at: now}
 }
 
+// Restart forgets what was learned of the target, since it has started anew.
+func (c *Core) Restart(now time.Time) {
+	c.limiter.Restart(now)
+	c.latency = 0
+}
+
 // Pause admits nothing until Resume. What can still make its deadline waits.
 func (c *Core) Pause() {
 	c.paused = true
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -158,6 +158,12 @@
 	g.change(func(now time.Time) { g.core.Report(h, now) })
 }
 
+// Restart forgets what was learned of the target, since it has started anew: the
+// limit is the start limit again. What is in flight still counts.
+func (g *Gate) Restart() {
+	g.change(func(now time.Time) { g.core.Restart(now) })
+}
+
 // Pause admits nothing until Resume. What can still make its deadline waits.
 func (g *Gate) Pause() {
 	g.change(func(time.Time) { g.core.Pause() })
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -298,6 +298,18 @@
 	l.cut = l.epoch
 }
 
+// Restart forgets all that was learned, since the target is another one now.
+// What began before is no evidence any more.
+func (l *Limiter) Restart(now time.Time) {
+	if l.fixed {
+		return
+	}
+	l.proven, l.slow, l.peak = 0, 0, 0
+	l.baseline.Reset()
+	l.set(l.start, now)
+	l.cut = l.epoch
+}
+
 // set begins an epoch with a new limit, within bounds, and gives up a probe.
 func (l *Limiter) set(limit int, now time.Time) {
 	l.restore = 0
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -106,6 +106,25 @@
 	}
 }
 
+func TestRestartForgets(t *testing.T) {
+	l := admission.NewLimiter()
+	now := epoch
+	late := make([]admission.Began, 0, 2000)
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		b := l.Begin(l.Limit(), true, now)
+		late = append(late, l.Begin(l.Limit(), true, now))
+		l.End(b, admission.Completion{Latency: 10 * time.Millisecond}, now)
+	}
+	l.Restart(now)
+	for _, b := range late {
+		l.End(b, admission.Completion{Latency: 10 * time.Millisecond}, now)
+	}
+	if l.Limit() != 2 || l.Baseline() != 0 || l.Proven() != 0 {
+		t.Errorf("limit %d, proven %d, baseline %v", l.Limit(), l.Proven(), l.Baseline())
+	}
+}
+
 func TestReportsOnlyLower(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -114,16 +114,6 @@
 	p.members = members
 }
 
-// Has reports whether there is a member that is not excluded.
-func (p *Pool) Has(exclude ...wire.Generation) bool {
-	for i := range p.members {
-		if !slices.Contains(exclude, p.members[i].generation) {
-			return true
-		}
-	}
-	return false
-}
-
 // Pick chooses a member that is not excluded; false if there is none. An
 // ejected one is chosen only if no other is left.
 func (p *Pool) Pick(now time.Time, exclude ...wire.Generation) (wire.Generation, bool) {
--- a/admission/pool_test.go
+++ b/admission/pool_test.go
@@ -137,41 +137,6 @@
 	}
 }
 
-func TestBalancer(t *testing.T) {
-	now := epoch
-	b := admission.NewBalancer(admission.WithClock(func() time.Time { return now }), admission.WithFloor(0))
-	if _, ok := b.First(); ok {
-		t.Error("chose from no members")
-	}
-	b.Set(generations(2))
-	for range 200 {
-		first, ok := b.First()
-		if !ok {
-			t.Fatal("no first try")
-		}
-		b.Done(first, admission.Completion{Latency: 10 * time.Millisecond})
-	}
-	if delay, ok := b.HedgeAfter(1); !ok || delay < 10*time.Millisecond || delay > 11*time.Millisecond {
-		t.Errorf("hedge after %v, %v", delay, ok)
-	}
-	if _, ok := b.Retry(generations(2)...); ok {
-		t.Error("retry with every member excluded")
-	}
-	retries := 0
-	for range 20 {
-		if second, ok := b.Retry(1); ok {
-			retries++
-			if second != 2 {
-				t.Errorf("retry went to %d", second)
-			}
-		}
-	}
-	// The budget saves up 10 at most.
-	if retries != 10 {
-		t.Errorf("%d retries", retries)
-	}
-}
-
 func BenchmarkPoolPick(b *testing.B) {
 	p := admission.NewPool()
 	p.Set(generations(6), epoch)
