admission: a silent target counts as slow; split the core

With all slots taken by requests that hang, the estimate of the wait rested on answers from before, and requests joined a queue that could not move in time. Slots, decisions and stats have files of their own.

--- a/admission/core.go
+++ b/admission/core.go
@@ -23,66 +23,6 @@
 	return func(s *settings) { s.spare = share }
 }
 
-// Slot stands for one admitted request. The zero Slot stands for none.
-type Slot struct {
-	index uint32
-	turn  uint32
-}
-
-// occupant is what the Core keeps of one request in flight.
-type occupant struct {
-	turn  uint32
-	busy  bool
-	depth uint8
-	began Began
-	at    time.Time
-}
-
-// Verdict is what became of a request.
-type Verdict uint8
-
-const (
-	// Refused means that Decision.Refusal is the final answer.
-	Refused Verdict = iota
-	// Admitted means that Decision.Slot is taken.
-	Admitted
-	// Waiting means that a later Decision with the same ID follows.
-	Waiting
-)
-
-// Decision answers a request.
-type Decision struct {
-	Verdict Verdict
-	// Slot is to be given back with Done.
-	Slot Slot
-	// ID names a request that waits or has waited.
-	ID uint64
-	// Cutoff is when a request that waits can no longer make its deadline; zero
-	// if it has none.
-	Cutoff  time.Time
-	Refusal Refusal
-}
-
-// Stats is a snapshot of the state.
-type Stats struct {
-	InFlight int
-	Queued   int
-	// Limit is the number of requests that may be in flight, reports included.
-	Limit int
-	// Proven is the greatest number that the target was lately seen to bear.
-	Proven int
-	// Latency is the mean latency of recent answers.
-	Latency time.Duration
-	// Baseline is the target's own best latency.
-	Baseline time.Duration
-	// Admitted, Refused and Shed count requests from the beginning.
-	Admitted uint64
-	Refused  uint64
-	Shed     uint64
-	Paused   bool
-	Draining bool
-}
-
 // Core decides on admission to one target. It is driven by messages and their
 // time, and is not safe for concurrent use.
 //
@@ -99,17 +39,18 @@
 	// deep counts the nested requests that wait.
 	deep int
 
-	occupants []occupant
-	vacant    []uint32
+	slots slots
 	// latency is the mean of recent answers in nanoseconds.
 	latency float64
-	health  report
-	paused  bool
-	closed  bool
-	prune   bool
-	lastID  uint64
-	random  *rand.Rand
-	stats   Stats
+	// progressAt is when a request last ended, or began with none in flight.
+	progressAt time.Time
+	health     report
+	paused     bool
+	closed     bool
+	prune      bool
+	lastID     uint64
+	random     *rand.Rand
+	stats      Stats
 }
 
 // NewCore returns a Core for a target of which nothing is known.
@@ -234,19 +175,21 @@
 	return t.Deadline.Add(-c.limiter.Least())
 }
 
-// drain returns the time in which so many requests leave the queue.
+// drain returns the time in which so many requests leave the queue. A target
+// from which nothing comes back counts as slow as it is silent.
 func (c *Core) drain(count int, now time.Time) time.Duration {
-	return time.Duration(c.latency * float64(count) / float64(max(c.Limit(now), 1)))
+	latency := c.latency
+	if c.reserve.InFlight() > 0 {
+		latency = max(latency, float64(now.Sub(c.progressAt)))
+	}
+	return time.Duration(latency * float64(count) / float64(max(c.Limit(now), 1)))
 }
 
 // Done takes back a slot. It reports false, and does nothing, if the slot was
 // given back before.
 func (c *Core) Done(slot Slot, done Completion, now time.Time) bool {
-	if int(slot.index) >= len(c.occupants) {
-		return false
-	}
-	o := &c.occupants[slot.index]
-	if !o.busy || o.turn != slot.turn {
+	o, ok := c.slots.release(slot)
+	if !ok {
 		return false
 	}
 	if c.set.judge != nil {
@@ -260,8 +203,7 @@
 	c.limiter.End(o.began, done, now)
 	c.prune = c.prune || c.limiter.Limit() < limit
 	c.reserve.Leave(o.depth)
-	o.busy = false
-	c.vacant = append(c.vacant, slot.index)
+	c.progressAt = now
 	return true
 }
 
@@ -429,22 +371,13 @@
 func (c *Core) admit(t *Ticket, id uint64, now time.Time) Decision {
 	c.reserve.Enter(t.Depth)
 	inFlight := c.reserve.InFlight()
+	if inFlight == 1 {
+		c.progressAt = now
+	}
 	full := inFlight >= c.reserve.Capacity(c.limiter.Limit(), 0, now)
 	began := c.limiter.Begin(inFlight, full, now)
 	c.stats.Admitted++
-	return Decision{Verdict: Admitted, ID: id, Slot: c.occupy(occupant{depth: t.Depth, began: began, at: now})}
-}
-
-func (c *Core) occupy(o occupant) Slot {
-	if len(c.vacant) == 0 {
-		c.vacant = append(c.vacant, uint32(len(c.occupants)))
-		c.occupants = append(c.occupants, occupant{})
-	}
-	index := c.vacant[len(c.vacant)-1]
-	c.vacant = c.vacant[:len(c.vacant)-1]
-	o.busy, o.turn = true, c.occupants[index].turn+1
-	c.occupants[index] = o
-	return Slot{index: index, turn: o.turn}
+	return Decision{Verdict: Admitted, ID: id, Slot: c.slots.take(occupant{depth: t.Depth, began: began, at: now})}
 }
 
 func (c *Core) refuse(id uint64, r Refusal) Decision {
