caller, forward: close the ways around the price list and the headers

Found in review, each with a test: - A status outside 200 to 599, which a target or peer may send, made net/http panic, and the caller got a cut connection in place of an outcome. - Headers Fulmar-* in a target's answer passed, and so did a caller's fulmar_epoch, which some targets take for Fulmar-Epoch. - /agenda/visits/.. and its escaped forms matched a wildcard and led elsewhere at the target. Segments . and .. are refused. - Two IDs joined by a comma, and IDs with control bytes, passed as one ID. - A caller that stopped in the middle of its body held a goroutine for ever; it has its wait, at least 1 s. - Content-Length 0 was said in answers to HEAD. - RetryAfter near the end of its range overflowed; it is at most an hour now, and each 5xx of our own carries one. - Without a configuration, an ID of the caller's own was answered not run, though it may have run before; likewise where the owner has no such kind. - The final answer of a run is shared with those who joined it, and was changed in place after a lost try. - A call that the peer did not begin (peer.ErrRefused) counts as not run. - A try whose time was over was still sent. - A request cancelled in a member's queue counted as shed by that member. New options of the forwarder, for tests: WithCall, WithPatience.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"fulmarrun/forward"
@@ -19,39 +20,69 @@
 	Retry string `json:"retry,omitempty"`
 }
 
-func write(w http.ResponseWriter, id string, r *wire.Response) {
+const (
+	// defaultRetry is when to come back if the refusal doesn't say.
+	defaultRetry = time.Second
+	// maxRetry is the longest time that a caller is told to stay away.
+	maxRetry = time.Hour
+
+	minStatus = 200
+	maxStatus = 599
+)
+
+func write(w http.ResponseWriter, method, id string, r *wire.Response) {
+	if r.Outcome != wire.OutcomeAnswered {
+		writeRefusal(w, id, r)
+		return
+	}
+	// net/http panics on a status that HTTP does not have, and takes one below 200
+	// for the announcement of another.
+	if r.Status < minStatus || r.Status > maxStatus {
+		writeRefusal(w, id, &wire.Response{Outcome: wire.OutcomeUnknown, Reason: reasonStatus})
+		return
+	}
 	head := w.Header()
-	if r.Outcome == wire.OutcomeAnswered {
-		for _, h := range r.Headers {
-			head.Add(h.Name, h.Value)
+	for _, h := range r.Headers {
+		// Only this daemon says what is known of the run.
+		if name := http.CanonicalHeaderKey(h.Name); !strings.HasPrefix(name, ownPrefix) {
+			head[name] = append(head[name], h.Value)
 		}
 	}
-	head.Set(HeaderOutcome, r.Outcome.String())
+	state(head, id, r)
+	// The length of an answer to HEAD is that of the body that it leaves out.
+	if method != http.MethodHead {
+		head.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(int(r.Status))
+	_, _ = w.Write(r.Body)
+}
+
+// state sets the headers that each answer has.
+func state(head http.Header, id string, r *wire.Response) {
+	head[HeaderOutcome] = []string{r.Outcome.String()}
 	if id != "" {
-		head.Set(HeaderRequestID, id)
+		head[HeaderRequestID] = []string{id}
 	}
-	if r.Outcome == wire.OutcomeAnswered {
-		if r.Reason != "" {
-			head.Set(HeaderReason, r.Reason)
-		}
-		head.Set("Content-Length", strconv.Itoa(len(r.Body)))
-		w.WriteHeader(int(r.Status))
-		_, _ = w.Write(r.Body)
-		return
+	if r.Reason != "" {
+		head[HeaderReason] = []string{r.Reason}
 	}
-	writeRefusal(w, id, r)
 }
 
 func writeRefusal(w http.ResponseWriter, id string, r *wire.Response) {
 	body := refusal{Outcome: r.Outcome.String(), Reason: r.Reason, ID: id}
 	head := w.Header()
-	if r.RetryAfter > 0 {
-		body.Retry = r.RetryAfter.String()
-		head.Set("Retry-After", strconv.Itoa(seconds(r.RetryAfter)))
+	code := status(r)
+	retry := min(r.RetryAfter, maxRetry)
+	if retry <= 0 && code >= http.StatusInternalServerError {
+		retry = defaultRetry
+	}
+	if retry > 0 {
+		body.Retry = retry.String()
+		head.Set("Retry-After", strconv.Itoa(seconds(retry)))
 	}
-	head.Set(HeaderReason, r.Reason)
+	state(head, id, r)
 	head.Set("Content-Type", "application/json")
-	w.WriteHeader(status(r))
+	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
@@ -62,7 +93,7 @@
 
 func status(r *wire.Response) int {
 	switch {
-	case r.Status >= http.StatusBadRequest:
+	case r.Status >= http.StatusBadRequest && r.Status <= maxStatus:
 		return int(r.Status)
 	case r.Outcome == wire.OutcomeNotRun:
 		return http.StatusServiceUnavailable
--- a/caller/doc.go
+++ b/caller/doc.go
@@ -18,7 +18,15 @@
 //
 // Fulmar-Reason gives the reason for the latter two in one word, and Fulmar-Id
 // the ID that the request had. Refusals have status 503, or the 4xx of a request
-// that can never run; unknown has 504 after a timeout and 502 otherwise.
+// that can never run; unknown has 504 after a timeout and 502 otherwise, or 409
+// where no repetition can find out more. Each answer of 5xx that is not the
+// target's has Retry-After, of an hour at most.
+//
+// An Idempotency-Key is printable ASCII of up to 128 bytes without commas, since
+// one with a comma may be two that were joined on the way. A path may not have
+// segments "." or "..", also not escaped. Headers that begin with Fulmar- pass in
+// neither direction. A request that net/http itself refuses, such as one with too
+// many headers, has no Fulmar-Outcome; it did not run.
 //
 // # Usage
 //
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,6 +44,13 @@
 	reasonDepth    = "depth"
 	reasonDeadline = "deadline"
 	reasonBody     = "body"
+	reasonPath     = "path"
+	reasonStatus   = "status"
+
+	// ownPrefix starts the names of this system's own headers.
+	ownPrefix = "Fulmar-"
+	// minBodyWait is the shortest time that a caller has for sending its body.
+	minBodyWait = time.Second
 
 	configRetry = time.Second
 )
@@ -77,17 +87,21 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, req, refused := h.read(w, r)
 	if refused != nil {
-		write(w, r.Header.Get(HeaderIdempotencyKey), refused)
+		id, _ := ownID(r.Header)
+		write(w, r.Method, id, refused)
 		return
 	}
-	write(w, req.ID, h.route(r.Context(), kind, req))
+	write(w, r.Method, req.ID, h.route(r.Context(), kind, req))
 }
 
 // read turns HTTP into a request, or returns the refusal.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*config.Kind, *wire.Request, *wire.Response) {
 	table := h.table()
 	if table == nil {
-		return nil, nil, wire.Refuse(reasonConfig, configRetry)
+		return nil, nil, unready(r.Header)
+	}
+	if dotted(r.URL.Path) {
+		return nil, nil, bad(http.StatusBadRequest, reasonPath)
 	}
 	match, ok := table.Match(r.Method, r.URL.EscapedPath())
 	if !ok {
@@ -106,7 +120,7 @@
 	if refused := identify(r, &match, req); refused != nil {
 		return nil, nil, refused
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
+	body, err := h.body(w, r, req.Wait)
 	if err != nil {
 		return nil, nil, badBody(err)
 	}
@@ -115,6 +129,46 @@
 	return match.Kind, req, nil
 }
 
+// body reads the whole body. A caller that stops in the middle is cut off after
+// wait.
+func (h *Handler) body(w http.ResponseWriter, r *http.Request, wait time.Duration) ([]byte, error) {
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	// Where the connection has no deadline, in tests, there is none to set.
+	_ = control.SetReadDeadline(time.Now().Add(max(wait, minBodyWait)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
+	if err != nil {
+		// The deadline stays, so that the server does not wait for the rest either.
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// unready answers while no configuration is in force. An ID of the caller's own
+// may have run before, and whether it may be repeated is not known here.
+func unready(h http.Header) *wire.Response {
+	r := wire.Refuse(reasonConfig, configRetry)
+	if len(h.Values(HeaderIdempotencyKey)) > 0 {
+		r.Outcome, r.Status = wire.OutcomeUnknown, http.StatusServiceUnavailable
+	}
+	return r
+}
+
+// dotted tells whether a path has a segment that would lead elsewhere at the
+// target. The path is unescaped, so that none is hidden in the value of a
+// wildcard.
+func dotted(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 func bad(status uint16, reason string) *wire.Response {
 	return &wire.Response{Outcome: wire.OutcomeNotRun, Status: status, Reason: reason}
 }
@@ -131,6 +185,9 @@
 	if errors.As(err, &tooLong) {
 		return bad(http.StatusRequestEntityTooLarge, reasonBody)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return bad(http.StatusRequestTimeout, reasonBody)
+	}
 	return bad(http.StatusBadRequest, reasonBody)
 }
 
@@ -156,12 +213,12 @@
 
 // identify sets the request's ID and key.
 func identify(r *http.Request, match *config.Match, req *wire.Request) *wire.Response {
-	ids := r.Header.Values(HeaderIdempotencyKey)
+	own, ok := ownID(r.Header)
 	switch {
-	case len(ids) > 1, len(ids) == 1 && (ids[0] == "" || len(ids[0]) > MaxID):
+	case !ok:
 		return bad(http.StatusBadRequest, reasonID)
-	case len(ids) == 1:
-		req.ID = ids[0]
+	case own != "":
+		req.ID = own
 	default:
 		id, err := uuid.NewV7()
 		if err != nil {
@@ -184,11 +241,40 @@
 	return nil
 }
 
+// ownID returns the caller's own ID, which is empty if there is none. It returns
+// false for one that can't be used: a comma may stand between two that were
+// joined on the way.
+func ownID(h http.Header) (string, bool) {
+	ids := h.Values(HeaderIdempotencyKey)
+	if len(ids) == 0 {
+		return "", true
+	}
+	id := ids[0]
+	if len(ids) > 1 || id == "" || len(id) > MaxID {
+		return "", false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' || id[i] == ',' {
+			return "", false
+		}
+	}
+	return id, true
+}
+
+// reserved tells whether only this system may give the target a header of this
+// name. Some targets take an underscore for a hyphen.
+func reserved(name string) bool {
+	if strings.Contains(name, "_") {
+		name = http.CanonicalHeaderKey(strings.ReplaceAll(name, "_", "-"))
+	}
+	return name == HeaderIdempotencyKey || strings.HasPrefix(name, ownPrefix)
+}
+
+// headers returns those that may go on to the target.
 func headers(h http.Header) []wire.Header {
 	out := make([]wire.Header, 0, len(h))
 	for name, values := range h {
-		switch name {
-		case HeaderIdempotencyKey, target.HeaderDepth, target.HeaderDeadline:
+		if reserved(name) {
 			continue
 		}
 		for _, v := range values {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -49,11 +50,24 @@
 	return func(f *Forwarder) { f.options = opts }
 }
 
+// WithCall is a functional option that replaces how another daemon is called.
+func WithCall(call func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error)) Option {
+	return func(f *Forwarder) { f.call = call }
+}
+
+// WithPatience is a functional option that sets how long a request waits for its
+// key to be owned.
+func WithPatience(d time.Duration) Option {
+	return func(f *Forwarder) { f.patience = d }
+}
+
 // Forwarder routes requests. It is safe for concurrent use.
 type Forwarder struct {
 	own     *owner.Server
 	call    func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error)
 	options []admission.Option
+	// patience bounds how long a request waits for its key to be owned.
+	patience time.Duration
 
 	mu     sync.Mutex
 	budget admission.Budget
@@ -64,7 +78,7 @@
 // calls the other daemons through peers.
 func NewForwarder(own *owner.Server, peers *peer.Client, opts ...Option) *Forwarder {
 	f := &Forwarder{
-		own: own, pools: make(map[string]*pool),
+		own: own, pools: make(map[string]*pool), patience: ownerPatience,
 	}
 	f.call = func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 		return peer.Call[wire.Response](ctx, peers, to.Peer, peer.KindRequest, req)
@@ -109,12 +123,20 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		try.Wait = time.Until(deadline)
 	}
+	if try.Wait <= 0 {
+		return nil, fmt.Errorf("no time left: %w", peer.ErrNotSent)
+	}
 	if to.Generation == f.own.Standing().Generation {
 		return f.own.Serve(ctx, &try), nil
 	}
 	return f.call(ctx, to, &try)
 }
 
+// notBegun tells whether the error of a call says that the peer has not begun it.
+func notBegun(err error) bool {
+	return errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrRefused)
+}
+
 // ended returns the final answer to a request whose time is over, or whose
 // caller has gone.
 func ended(ctx context.Context, begun bool) *wire.Response {
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/config"
-	"fulmarrun/peer"
+	"fulmarrun/owner"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
@@ -56,7 +56,7 @@
 	if k.ownerless.IsZero() {
 		k.ownerless = now
 	}
-	left := ownerPatience - now.Sub(k.ownerless)
+	left := k.f.patience - now.Sub(k.ownerless)
 	if left <= 0 {
 		return refuse(ReasonOwner, k.asked || k.lost)
 	}
@@ -74,7 +74,7 @@
 	case err == nil:
 		rest(ctx, snapshot, pause)
 		return nil
-	case errors.Is(err, peer.ErrNotSent):
+	case notBegun(err):
 		rest(ctx, snapshot, pause)
 		return nil
 	}
@@ -95,12 +95,16 @@
 }
 
 // final keeps a refusal truthful: it says nothing about an earlier try that is
-// still on its way.
+// still on its way, nor, from an owner that does not know the kind, about an
+// earlier request with the same ID.
 func (k *keyed) final(r *wire.Response) *wire.Response {
-	if r.Outcome == wire.OutcomeNotRun && k.lost {
-		r.Outcome = wire.OutcomeUnknown
+	if r.Outcome != wire.OutcomeNotRun || !k.lost && (!k.asked || r.Reason != owner.ReasonKind) {
+		return r
 	}
-	return r
+	// The answer of a run may be shared with others who wait for it.
+	doubtful := *r
+	doubtful.Outcome = wire.OutcomeUnknown
+	return &doubtful
 }
 
 var errRerouted = errors.New("the key has a new owner")
--- /dev/null
+++ b/forward/keyed_test.go
@@ -0,0 +1,236 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/admission"
+	"fulmarrun/forward"
+	"fulmarrun/owner"
+	"fulmarrun/peer"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const shortWait = 150 * time.Millisecond
+
+// step is what becomes of one try.
+type step func(ctx context.Context, w *world) (*wire.Response, error)
+
+func answered(context.Context, *world) (*wire.Response, error) {
+	return &wire.Response{Outcome: wire.OutcomeAnswered, Status: 200, Body: []byte("whole")}, nil
+}
+
+func refused(context.Context, *world) (*wire.Response, error) {
+	return wire.Refuse("full", time.Second), nil
+}
+
+func unknownKind(context.Context, *world) (*wire.Response, error) {
+	return wire.Refuse(owner.ReasonKind, time.Second), nil
+}
+
+func unsure(context.Context, *world) (*wire.Response, error) { return wire.Unsure("cut"), nil }
+func moved(context.Context, *world) (*wire.Response, error)  { return wire.Misrouted(), nil }
+func broken(context.Context, *world) (*wire.Response, error) { return nil, peer.ErrBroken }
+func failed(context.Context, *world) (*wire.Response, error) { return nil, peer.ErrFailed }
+func unsent(context.Context, *world) (*wire.Response, error) { return nil, peer.ErrNotSent }
+func full(context.Context, *world) (*wire.Response, error)   { return nil, peer.ErrRefused }
+
+func hang(ctx context.Context, _ *world) (*wire.Response, error) {
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// taken has the key taken over while the owner is silent.
+func taken(ctx context.Context, w *world) (*wire.Response, error) {
+	w.give(3, 2)
+	return hang(ctx, w)
+}
+
+// script answers tries in turn, the last step from then on.
+type script struct {
+	w     *world
+	steps []step
+
+	mu    sync.Mutex
+	tries []wire.Request
+	to    []wire.Generation
+}
+
+func (s *script) call(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
+	s.mu.Lock()
+	n := min(len(s.tries), len(s.steps)-1)
+	s.tries, s.to = append(s.tries, *req), append(s.to, to.Generation)
+	s.mu.Unlock()
+	return s.steps[n](ctx, s.w)
+}
+
+// The columns are a kind that may not be repeated with an ID made at ingress and
+// with one of the caller's own, and a kind that may be repeated.
+func TestKeyedOutcomes(t *testing.T) {
+	const answer, notRun, unknown = wire.OutcomeAnswered, wire.OutcomeNotRun, wire.OutcomeUnknown
+	all := func(o wire.Outcome) [3]wire.Outcome { return [3]wire.Outcome{o, o, o} }
+	vouched := [3]wire.Outcome{notRun, unknown, notRun}
+	cases := []struct {
+		name  string
+		steps []step
+		want  [3]wire.Outcome
+		// tries is the number of tries; zero if it depends on time.
+		tries [3]int
+		// ends is true if only the end of the wait ends the request.
+		ends    bool
+		options []admission.Option
+	}{
+		{name: "answered", steps: []step{answered}, want: all(answer), tries: [3]int{1, 1, 1}},
+		{name: "refused by the owner", steps: []step{refused}, want: all(notRun), tries: [3]int{1, 1, 1}},
+		{name: "unknown to the owner", steps: []step{unsure}, want: all(unknown), tries: [3]int{1, 1, 1}},
+		{name: "no such kind at the owner", steps: []step{unknownKind}, want: vouched, tries: [3]int{1, 1, 1}},
+		{name: "not sent, then answered", steps: []step{unsent, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "not begun, then answered", steps: []step{full, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "not sent, then refused", steps: []step{unsent, refused}, want: all(notRun), tries: [3]int{2, 2, 2}},
+		{name: "moved, then answered", steps: []step{moved, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "broken, then answered", steps: []step{broken, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "failed, then answered", steps: []step{failed, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "broken, then refused", steps: []step{broken, refused}, want: all(unknown), tries: [3]int{2, 2, 2}},
+		{name: "broken, then moved, then refused", steps: []step{broken, moved, refused}, want: all(unknown), tries: [3]int{3, 3, 3}},
+		{
+			name: "broken without a budget", steps: []step{broken, answered}, want: [3]wire.Outcome{answer, answer, unknown},
+			tries: [3]int{2, 2, 1}, options: []admission.Option{admission.WithRatio(0), admission.WithFloor(0)},
+		},
+		{name: "owner changes while it is silent", steps: []step{taken, answered}, want: all(answer), tries: [3]int{2, 2, 2}},
+		{name: "owner changes, the next refuses", steps: []step{taken, refused}, want: all(unknown), tries: [3]int{2, 2, 2}},
+		{name: "never sent", steps: []step{unsent}, want: vouched, ends: true},
+		{name: "always moved", steps: []step{moved}, want: vouched, ends: true},
+		{name: "silent", steps: []step{hang}, want: all(unknown), tries: [3]int{1, 1, 1}, ends: true},
+	}
+	columns := []struct {
+		name, kind string
+		fresh      bool
+	}{{"never, ID made here", "book", true}, {"never, ID of the caller", "book", false}, {"repeatable", "visit", true}}
+	for _, c := range cases {
+		for i, column := range columns {
+			t.Run(c.name+"/"+column.name, func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 3)
+				w.give(2, 1)
+				s := &script{w: w, steps: c.steps}
+				options := c.options
+				if options == nil {
+					options = []admission.Option{admission.WithRatio(10)}
+				}
+				f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call), forward.WithAdmission(options...))
+				req := w.request(w.kind(column.kind), column.fresh)
+				if c.ends {
+					req.Wait = shortWait
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				got := f.Route(ctx, w.kind(column.kind), req)
+				if got.Outcome != c.want[i] || c.tries[i] > 0 && len(s.tries) != c.tries[i] {
+					t.Errorf("%s (%s) after %d tries", got.Outcome, got.Reason, len(s.tries))
+				}
+				if ctx.Err() != nil {
+					t.Error("the answer was held back")
+				}
+				checkTries(t, s, column.fresh)
+			})
+		}
+	}
+}
+
+// checkTries checks that a request is fresh only as long as no try may have run.
+func checkTries(t *testing.T, s *script, fresh bool) {
+	t.Helper()
+	for n, try := range s.tries {
+		if n > 0 {
+			_, err := s.steps[min(n-1, len(s.steps)-1)](cancelled(), s.w)
+			fresh = fresh && (err == nil || errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrRefused))
+		}
+		if try.Fresh != fresh {
+			t.Errorf("try %d: fresh %t", n, try.Fresh)
+		}
+		if try.Wait <= 0 || try.Wait > time.Minute || try.Epoch == 0 {
+			t.Errorf("try %d: wait %s, epoch %d", n, try.Wait, try.Epoch)
+		}
+	}
+}
+
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func TestKeyedWithoutOwner(t *testing.T) {
+	for _, c := range []struct {
+		name, kind string
+		fresh      bool
+		want       wire.Outcome
+	}{
+		{"never, ID made here", "book", true, wire.OutcomeNotRun},
+		{"never, ID of the caller", "book", false, wire.OutcomeUnknown},
+		{"repeatable", "visit", false, wire.OutcomeNotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.give(0, 1)
+			s := &script{w: w, steps: []step{answered}}
+			f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call), forward.WithPatience(20*time.Millisecond))
+			kind := w.kind(c.kind)
+			got := f.Route(context.Background(), kind, w.request(kind, c.fresh))
+			if got.Outcome != c.want || got.Reason != forward.ReasonOwner || got.RetryAfter <= 0 || len(s.tries) != 0 {
+				t.Errorf("%+v after %d tries", got, len(s.tries))
+			}
+			f = forward.NewForwarder(w.own, nil, forward.WithCall(s.call))
+			time.AfterFunc(20*time.Millisecond, func() { w.give(2, 2) })
+			if got := f.Route(context.Background(), kind, w.request(kind, c.fresh)); got.Outcome != wire.OutcomeAnswered {
+				t.Errorf("with an owner again: %+v", got)
+			}
+		})
+	}
+}
+
+func TestCallerGone(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind string
+		step step
+		want wire.Outcome
+	}{
+		"silent": {"visit", hang, wire.OutcomeUnknown}, "not sent": {"visit", unsent, wire.OutcomeNotRun},
+		"silent, not keyed": {"free", hang, wire.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 0)
+			w.member(2, peerAddr)
+			w.give(2, 1)
+			ctx, cancel := context.WithCancel(context.Background())
+			s := &script{w: w, steps: []step{func(ctx context.Context, w *world) (*wire.Response, error) {
+				cancel()
+				return c.step(ctx, w)
+			}}}
+			f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call))
+			kind := w.kind(c.kind)
+			if got := f.Route(ctx, kind, w.request(kind, true)); got.Outcome != c.want || got.Reason != forward.ReasonCancelled {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
+
+// The runner's answer is shared with those who have joined its run.
+func TestFinalAnswerIsNotChanged(t *testing.T) {
+	w := newWorld(t, 2)
+	w.give(2, 1)
+	shared := wire.Refuse("abandoned", time.Second)
+	s := &script{w: w, steps: []step{broken, func(context.Context, *world) (*wire.Response, error) { return shared, nil }}}
+	f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call))
+	got := f.Route(context.Background(), w.kind("book"), w.request(w.kind("book"), true))
+	if got.Outcome != wire.OutcomeUnknown || shared.Outcome != wire.OutcomeNotRun {
+		t.Error(fmt.Sprint(got.Outcome, shared.Outcome))
+	}
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -10,7 +10,6 @@
 	"fulmarrun/admission"
 	"fulmarrun/config"
 	"fulmarrun/owner"
-	"fulmarrun/peer"
 	"fulmarrun/routes"
 	"fulmarrun/target"
 	"fulmarrun/wire"
@@ -39,6 +38,9 @@
 
 // pick chooses a member apart from those already tried.
 func (p *pool) pick(s *owner.Standing, kind *config.Kind, service string, tried []wire.Generation) *routes.Owner {
+	if s.Table == nil {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -75,7 +77,7 @@
 	defer p.mu.Unlock()
 	done := admission.Completion{Latency: took, Result: admission.OK}
 	switch {
-	case errors.Is(err, context.Canceled), err == nil && response.Reason == target.ReasonCancel:
+	case errors.Is(err, context.Canceled), err == nil && cancelled(response):
 		done.Result = admission.Cancelled
 	case err != nil || response.Outcome == wire.OutcomeUnknown:
 		done.Result = admission.Failed
@@ -87,6 +89,11 @@
 	p.choice.Done(g, done, time.Now())
 }
 
+// cancelled tells whether a member stopped a request because it was told to.
+func cancelled(r *wire.Response) bool {
+	return r.Reason == target.ReasonCancel || r.Reason == admission.ReasonCancelled
+}
+
 func (p *pool) hedgeAfter(kind *config.Kind) (time.Duration, bool) {
 	if !kind.Hedgeable() {
 		return 0, false
@@ -183,7 +190,7 @@
 	}
 	retry, free := true, false
 	switch {
-	case errors.Is(end.err, peer.ErrNotSent):
+	case notBegun(end.err):
 		free = true
 	case end.err == nil && end.response.Outcome == wire.OutcomeNotRun:
 		u.refused = end.response
@@ -199,7 +206,7 @@
 	}
 	switch {
 	case u.begun:
-		return wire.Unsure(ReasonLost)
+		return refuse(ReasonLost, true)
 	case u.refused != nil:
 		return u.refused
 	default:
