--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -86,6 +86,11 @@
 	size   int
 	// best is the lowest bucket; it outlives its bucket until another closes.
 	best bucket
+	// mean, variation and least are read from best, or from the open bucket
+	// before any was closed.
+	mean      time.Duration
+	variation float64
+	least     time.Duration
 }
 
 // Add takes in the latency of a request that began under light load.
@@ -95,22 +100,32 @@
 		b.size = min(2*b.open.count, bucketMax)
 		b.close(now)
 	}
+	if b.best.count == 0 && b.open.count >= bucketMin {
+		b.read(&b.open)
+	}
+}
+
+// read takes the baseline from a sample.
+func (b *Baseline) read(s *sample) {
+	b.mean = time.Duration(s.upper())
+	b.variation = s.variation()
+	b.least = time.Duration(s.least)
 }
 
 // Mean returns the baseline; zero while too little is known.
 func (b *Baseline) Mean() time.Duration {
-	return time.Duration(b.reference().upper())
+	return b.mean
 }
 
 // Variation returns the standard deviation of the baseline's latencies as a
 // share of their mean.
 func (b *Baseline) Variation() float64 {
-	return b.reference().variation()
+	return b.variation
 }
 
 // Least returns the least latency in the baseline's bucket.
 func (b *Baseline) Least() time.Duration {
-	return time.Duration(b.reference().least)
+	return b.least
 }
 
 // Stale reports whether the baseline is older than its window and should be
@@ -137,17 +152,6 @@
 	}
 }
 
-// reference returns the sample that the baseline is read from.
-func (b *Baseline) reference() *sample {
-	if b.best.count > 0 {
-		return &b.best.sample
-	}
-	if b.open.count >= bucketMin {
-		return &b.open
-	}
-	return &sample{}
-}
-
 // close stores the open bucket and chooses the best again.
 func (b *Baseline) close(now time.Time) {
 	b.closed[b.next] = bucket{sample: b.open, at: now}
@@ -167,4 +171,5 @@
 			b.best = *c
 		}
 	}
+	b.read(&b.best.sample)
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -178,7 +178,7 @@
 }
 
 func BenchmarkGateUncontended(b *testing.B) {
-	g := admission.NewGate(admission.WithFixedLimit(100))
+	g := admission.NewGate()
 	ticket := admission.Ticket{Deadline: time.Now().Add(time.Hour)}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -191,7 +191,7 @@
 }
 
 func BenchmarkGateParallel(b *testing.B) {
-	g := admission.NewGate(admission.WithFixedLimit(1000))
+	g := admission.NewGate(admission.WithStart(1000))
 	ticket := admission.Ticket{Deadline: time.Now().Add(time.Hour)}
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
