--- /dev/null
+++ b/owner/alloc_test.go
@@ -0,0 +1,40 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fulmarrun/admission"
+)
+
+// Finding the kind and the owner of a request and admitting it allocates nothing.
+func TestRoutingAndAdmissionDoNotAllocate(t *testing.T) {
+	d := newDaemon(t)
+	snapshot := d.server.Standing().Snapshot
+	ctx := context.Background()
+	ticket := admission.Ticket{Deadline: time.Now().Add(time.Hour)}
+	allocated := testing.AllocsPerRun(1000, func() {
+		match, ok := d.table.Match("POST", "/agenda/visits/17")
+		if !ok {
+			t.Fatal("no kind")
+		}
+		key, _ := match.Value("visit")
+		route, ok := snapshot.Lookup(match.Service.Name, key)
+		if !ok || route.Owner == nil {
+			t.Fatal("no owner")
+		}
+		if d.units.Enter(unit) != nil {
+			t.Fatal("frozen")
+		}
+		permit, err := d.gate.Enter(ctx, ticket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		permit.Done(admission.Completion{Latency: time.Millisecond, Result: admission.OK})
+		d.units.Leave(unit)
+	})
+	if allocated != 0 {
+		t.Errorf("%v allocations", allocated)
+	}
+}
--- a/owner/server.go
+++ b/owner/server.go
@@ -52,7 +52,7 @@
 // NewServer returns a server that refuses everything until Publish.
 func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.Hot) *Server {
 	s := &Server{gate: gate, units: units, hot: hot, lease: newLeaseClock()}
-	s.standing.Store(&Standing{})
+	s.standing.Store(&Standing{Snapshot: routes.NewView().Snapshot()})
 	return s
 }
 
--- /dev/null
+++ b/owner/server_test.go
@@ -0,0 +1,383 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"fulmarrun/admission"
+	"fulmarrun/config"
+	"fulmarrun/handover"
+	"fulmarrun/outcome"
+	"fulmarrun/owner"
+	"fulmarrun/routes"
+	"fulmarrun/target"
+	"fulmarrun/wire"
+)
+
+const kindsText = `{"services":[{"name":"agenda","slots":1,"kinds":[
+	{"name":"book","method":"POST","path":"/visits/{visit}","key":{"path":"visit"},"wait":"1m","repeat":"never","class":"urgent"},
+	{"name":"visit","method":"GET","path":"/visits/{visit}","key":{"path":"visit"},"wait":"1m","repeat":1,"class":"urgent"},
+	{"name":"far","method":"GET","path":"/far/{day}","wait":"1m","repeat":1,"domains":["cartago"],"class":"urgent"},
+	{"name":"other","method":"GET","path":"/other/{day}","wait":"1m","repeat":1,"targets":["agenda-9"],"class":"urgent"},
+	{"name":"free","method":"GET","path":"/days/{day}","wait":"1m","repeat":0,"class":"urgent"}]}]}`
+
+const patience = 20 * time.Second
+
+// daemon is an owner with its target; serve is what the target does.
+type daemon struct {
+	t       testing.TB
+	gate    *admission.Gate
+	units   *handover.Units
+	ledger  *outcome.Ledger
+	server  *owner.Server
+	view    *routes.View
+	table   *config.Table
+	rows    uint64
+	runs    atomic.Int64
+	serve   atomic.Pointer[http.HandlerFunc]
+	closing bool
+}
+
+var unit = outcome.Unit{Service: "agenda", Slot: 0}
+
+func newDaemon(t testing.TB) *daemon {
+	t.Helper()
+	f, err := config.Parse("test", []byte(kindsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{
+		t: t, gate: admission.NewGate(admission.WithFixedLimit(16)), units: handover.NewUnits(),
+		ledger: outcome.NewLedger(), view: routes.NewView(), table: config.NewTable(f, 1),
+	}
+	d.server = owner.NewServer(d.gate, d.units, handover.NewHot())
+	client := target.NewClient(target.WithCheck(d.server.CheckFence))
+	d.server.SetClient(client)
+	d.server.SetLedger(d.ledger)
+	d.ledger.Open(unit, time.Time{})
+	d.does(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.runs.Add(1)
+		(*d.serve.Load())(w, r)
+	}))
+	t.Cleanup(back.Close)
+	client.Use(netip.MustParseAddrPort(back.Listener.Addr().String()), true)
+	for g := range 2 {
+		d.put(routes.MemberKey(wire.Generation(g+1)), &wire.Member{
+			Instance: fmt.Sprint("agenda-", g+1), Generation: wire.Generation(g + 1), Service: "agenda", Domain: "heredia",
+		})
+	}
+	d.give(1, 1)
+	d.server.SetLease(time.Now().Add(time.Hour))
+	return d
+}
+
+func (d *daemon) does(f http.HandlerFunc) { d.serve.Store(&f) }
+
+func (d *daemon) put(key string, m wire.Message) {
+	d.rows++
+	value, err := wire.Encode(m)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if _, err := d.view.Put(wire.Row{Key: key, Version: d.rows, Value: value}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// give gives the only slot to g.
+func (d *daemon) give(g wire.Generation, epoch uint64) {
+	d.put(routes.SlotsKey("agenda", 0), &wire.Slots{
+		Service: "agenda", Count: 1, Number: epoch, Slots: []wire.Slot{{Owner: g, Epoch: epoch}},
+	})
+	d.publish()
+}
+
+func (d *daemon) publish() {
+	d.server.Publish(&owner.Standing{
+		Generation: 1, Service: "agenda", Instance: "agenda-1", Domain: "heredia",
+		Snapshot: d.view.Snapshot(), Table: d.table, Closing: d.closing,
+	})
+}
+
+func request(kind string) *wire.Request {
+	method := http.MethodGet
+	if kind == "book" {
+		method = http.MethodPost
+	}
+	return &wire.Request{
+		Service: "agenda", Kind: kind, Key: "17", ID: uuid.Must(uuid.NewV7()).String(), Fresh: true, Epoch: 1,
+		Wait: time.Minute, Method: method, Path: "/visits/17",
+	}
+}
+
+func until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not seen: %s", what)
+		}
+	}
+}
+
+// holding has the target hold each request until release or its end.
+func (d *daemon) holding() (began chan struct{}, release chan struct{}) {
+	began, release = make(chan struct{}, 16), make(chan struct{})
+	d.does(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		began <- struct{}{}
+		select {
+		case <-release:
+			_, _ = io.WriteString(w, "whole")
+		case <-r.Context().Done():
+		}
+	})
+	return began, release
+}
+
+func (d *daemon) start(ctx context.Context, q *wire.Request) <-chan *wire.Response {
+	out := make(chan *wire.Response, 1)
+	go func() { out <- d.server.Serve(ctx, q) }()
+	return out
+}
+
+func TestWhatIsServedHere(t *testing.T) {
+	cases := []struct {
+		name, kind string
+		change     func(*daemon, *wire.Request)
+		outcome    wire.Outcome
+		moved      bool
+		runs       int64
+	}{
+		{"own key", "book", nil, wire.OutcomeAnswered, false, 1},
+		{"own key, repeatable", "visit", nil, wire.OutcomeAnswered, false, 1},
+		{"not keyed", "free", nil, wire.OutcomeAnswered, false, 1},
+		{"another's key", "book", func(d *daemon, _ *wire.Request) { d.give(2, 2) }, wire.OutcomeNotRun, true, 0},
+		{"nobody's key", "book", func(d *daemon, _ *wire.Request) { d.give(0, 2) }, wire.OutcomeNotRun, true, 0},
+		{"another service", "book", func(_ *daemon, q *wire.Request) { q.Service = "despacho" }, wire.OutcomeNotRun, false, 0},
+		{"no such kind", "none", nil, wire.OutcomeNotRun, false, 0},
+		{"another domain", "far", nil, wire.OutcomeNotRun, true, 0},
+		{"another target", "other", nil, wire.OutcomeNotRun, true, 0},
+		{"closing", "book", func(d *daemon, _ *wire.Request) { d.closing = true; d.publish() }, wire.OutcomeNotRun, true, 0},
+		{"no lease", "book", func(d *daemon, _ *wire.Request) { d.server.SetLease(time.Time{}) }, wire.OutcomeNotRun, true, 0},
+		{"lease is over", "visit", func(d *daemon, _ *wire.Request) { d.server.SetLease(time.Now().Add(-time.Second)) }, wire.OutcomeNotRun, true, 0},
+		{"not keyed, no lease", "free", func(d *daemon, _ *wire.Request) { d.server.SetLease(time.Time{}) }, wire.OutcomeAnswered, false, 1},
+		{"no memory", "book", func(d *daemon, _ *wire.Request) { d.ledger.Drop(unit) }, wire.OutcomeNotRun, true, 0},
+		{"memory frozen", "book", func(d *daemon, _ *wire.Request) { d.ledger.Freeze(unit) }, wire.OutcomeNotRun, true, 0},
+		{"memory lost, ID made here", "book", func(d *daemon, _ *wire.Request) { d.ledger.Open(unit, time.Now()) }, wire.OutcomeAnswered, false, 1},
+		{"memory lost, ID of the caller", "book", func(d *daemon, q *wire.Request) {
+			q.Fresh = false
+			d.ledger.Open(unit, time.Now())
+		}, wire.OutcomeUnknown, false, 0},
+		{"memory lost, sent by an older route", "book", func(d *daemon, q *wire.Request) {
+			q.Epoch = 0
+			d.ledger.Open(unit, time.Now())
+		}, wire.OutcomeUnknown, false, 0},
+		{"gate closed", "book", func(d *daemon, _ *wire.Request) { d.gate.Close() }, wire.OutcomeNotRun, false, 0},
+		{"fence rejected", "book", func(d *daemon, _ *wire.Request) {
+			d.does(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(target.HeaderFence, "epoch")
+				w.WriteHeader(target.StatusFenced)
+			})
+		}, wire.OutcomeNotRun, true, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDaemon(t)
+			q := request(c.kind)
+			if c.change != nil {
+				c.change(d, q)
+			}
+			got := d.server.Serve(context.Background(), q)
+			if got.Outcome != c.outcome || got.Moved != c.moved || d.runs.Load() != c.runs {
+				t.Errorf("%+v after %d runs", got, d.runs.Load())
+			}
+			if c.outcome == wire.OutcomeAnswered && string(got.Body) != "whole" {
+				t.Errorf("%q", got.Body)
+			}
+			if d.server.Running() != 0 || d.gate.Stats().InFlight != 0 {
+				t.Errorf("still running: %d", d.server.Running())
+			}
+		})
+	}
+}
+
+func TestLapseEndsWhatRuns(t *testing.T) {
+	for _, kind := range []string{"book", "visit"} {
+		d := newDaemon(t)
+		began, _ := d.holding()
+		q := request(kind)
+		answer := d.start(context.Background(), q)
+		<-began
+		d.server.SetLease(time.Time{})
+		d.server.Lapse()
+		if got := <-answer; got.Outcome != wire.OutcomeUnknown {
+			t.Errorf("%s: %+v", kind, got)
+		}
+		if kind != "book" {
+			continue
+		}
+		d.server.SetLease(time.Now().Add(time.Hour))
+		if got := d.server.Serve(context.Background(), q); got.Outcome != wire.OutcomeUnknown || d.runs.Load() != 1 {
+			t.Errorf("asked again: %+v after %d runs", got, d.runs.Load())
+		}
+	}
+}
+
+// A lease that ends between admission and the first byte keeps the request from
+// the target, and the refusal is not final.
+func TestLapseWhileWaiting(t *testing.T) {
+	d := newDaemon(t)
+	d.gate.Pause()
+	answer := d.start(context.Background(), request("book"))
+	until(t, "a request that waits", func() bool { return d.gate.Stats().Queued == 1 })
+	d.server.SetLease(time.Time{})
+	d.gate.Resume()
+	if got := <-answer; got.Outcome != wire.OutcomeNotRun || !got.Moved || d.runs.Load() != 0 {
+		t.Errorf("%+v after %d runs", got, d.runs.Load())
+	}
+	if err := d.server.CheckFence(target.Fence{Epoch: 1, Generation: 1}); !errors.Is(err, owner.ErrLease) {
+		t.Errorf("check: %v", err)
+	}
+}
+
+func TestFrozenUnit(t *testing.T) {
+	t.Run("served after a thaw", func(t *testing.T) {
+		d := newDaemon(t)
+		if err := d.units.Freeze(context.Background(), unit); err != nil {
+			t.Fatal(err)
+		}
+		answer := d.start(context.Background(), request("book"))
+		until(t, "a request that waits", func() bool { return d.server.Running() == 1 })
+		d.units.Thaw(unit)
+		if got := <-answer; got.Outcome != wire.OutcomeAnswered {
+			t.Errorf("%+v", got)
+		}
+	})
+	t.Run("routed again after a move", func(t *testing.T) {
+		d := newDaemon(t)
+		_ = d.units.Freeze(context.Background(), unit)
+		answer := d.start(context.Background(), request("book"))
+		until(t, "a request that waits", func() bool { return d.server.Running() == 1 })
+		d.give(2, 2)
+		d.units.Thaw(unit)
+		if got := <-answer; !got.Moved || d.runs.Load() != 0 {
+			t.Errorf("%+v after %d runs", got, d.runs.Load())
+		}
+	})
+	for _, c := range []struct {
+		kind  string
+		fresh bool
+		want  wire.Outcome
+	}{{"book", true, wire.OutcomeNotRun}, {"book", false, wire.OutcomeUnknown}, {"visit", false, wire.OutcomeNotRun}} {
+		d := newDaemon(t)
+		_ = d.units.Freeze(context.Background(), unit)
+		q := request(c.kind)
+		q.Fresh, q.Wait = c.fresh, 20*time.Millisecond
+		if got := d.server.Serve(context.Background(), q); got.Outcome != c.want || got.Reason != owner.ReasonMoving {
+			t.Errorf("%s, fresh %t: %+v", c.kind, c.fresh, got)
+		}
+	}
+}
+
+func TestFreezeWaitsForWhatRuns(t *testing.T) {
+	d := newDaemon(t)
+	began, release := d.holding()
+	answer := d.start(context.Background(), request("visit"))
+	<-began
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if err := d.units.Freeze(ctx, unit); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%v", err)
+	}
+	close(release)
+	if got := <-answer; got.Outcome != wire.OutcomeAnswered {
+		t.Errorf("%+v", got)
+	}
+	if err := d.units.Freeze(context.Background(), unit); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAnIDRunsOnce(t *testing.T) {
+	t.Run("those who ask meanwhile get the same answer, and so do those after", func(t *testing.T) {
+		d := newDaemon(t)
+		began, release := d.holding()
+		q := request("book")
+		first := d.start(context.Background(), q)
+		<-began
+		second, third := d.start(context.Background(), q), d.start(context.Background(), q)
+		until(t, "three requests", func() bool { return d.server.Running() == 3 })
+		close(release)
+		for _, answer := range []<-chan *wire.Response{first, second, third, d.start(context.Background(), q)} {
+			if got := <-answer; got.Outcome != wire.OutcomeAnswered || string(got.Body) != "whole" {
+				t.Errorf("%+v", got)
+			}
+		}
+		if n := d.runs.Load(); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	})
+	t.Run("it runs on when its caller has gone", func(t *testing.T) {
+		d := newDaemon(t)
+		began, release := d.holding()
+		ctx, cancel := context.WithCancel(context.Background())
+		q := request("book")
+		first := d.start(ctx, q)
+		<-began
+		cancel()
+		again := d.start(context.Background(), q)
+		until(t, "two requests", func() bool { return d.server.Running() == 2 })
+		close(release)
+		<-first
+		if got := <-again; got.Outcome != wire.OutcomeAnswered || d.runs.Load() != 1 {
+			t.Errorf("%+v after %d runs", got, d.runs.Load())
+		}
+	})
+	t.Run("a repeatable one is cancelled when its caller has gone", func(t *testing.T) {
+		d := newDaemon(t)
+		began, _ := d.holding()
+		ctx, cancel := context.WithCancel(context.Background())
+		answer := d.start(ctx, request("visit"))
+		<-began
+		cancel()
+		if got := <-answer; got.Outcome != wire.OutcomeUnknown || !strings.HasPrefix(got.Reason, "cancel") {
+			t.Errorf("%+v", got)
+		}
+	})
+	t.Run("one that was refused may run later", func(t *testing.T) {
+		d := newDaemon(t)
+		d.gate.Pause()
+		q := request("book")
+		q.Wait = 20 * time.Millisecond
+		if got := d.server.Serve(context.Background(), q); got.Outcome != wire.OutcomeNotRun {
+			t.Errorf("%+v", got)
+		}
+		d.gate.Resume()
+		q.Wait = time.Minute
+		if got := d.server.Serve(context.Background(), q); got.Outcome != wire.OutcomeAnswered || d.runs.Load() != 1 {
+			t.Errorf("%+v after %d runs", got, d.runs.Load())
+		}
+	})
+}
+
+func TestBeforeTheFirstPublish(t *testing.T) {
+	s := owner.NewServer(admission.NewGate(), handover.NewUnits(), handover.NewHot())
+	if got := s.Serve(context.Background(), request("book")); got.Outcome != wire.OutcomeNotRun {
+		t.Errorf("%+v", got)
+	}
+	if _, ok := s.Standing().Snapshot.Lookup("agenda", "17"); ok {
+		t.Error("a route out of nothing")
+	}
+}
