Do not let one long request keep a leaving daemon's other slots

A move waited up to 15 s for the requests that ran in its slots, and all other rows of slots waited behind it while new work went on in them. A row now gets a second at first; if its requests run on, it is left alone for half a second, others go first, and it is given twice the time in its next turn.

The heirs of a closed generation are told of it by the closer itself, besides the spreading of news.

--- a/control/core.go
+++ b/control/core.go
@@ -94,6 +94,8 @@
 	// they have been known.
 	predecessor map[wire.Generation]time.Time
 	orphans     map[wire.Generation]time.Time
+	// slow are the rows of slots of which a move was put off.
+	slow map[uint32]slowRow
 	// silent are those who did not answer as witnesses, and since when.
 	silent map[wire.Generation]time.Time
 	// closedSince is when the closing of a generation was learned.
@@ -139,6 +141,7 @@
 		takeovers:   make(map[wire.Generation]*takeover),
 		predecessor: make(map[wire.Generation]time.Time),
 		orphans:     make(map[wire.Generation]time.Time),
+		slow:        make(map[uint32]slowRow),
 		silent:      make(map[wire.Generation]time.Time),
 		closedSince: make(map[wire.Generation]time.Time),
 	}
@@ -204,7 +207,7 @@
 	case MoveReady:
 		c.moveReady(now, m)
 	case MoveFailed:
-		c.moving, c.nextMove = false, now.Add(movePause)
+		c.moveFailed(now, m)
 	case HotFound, HotCooled:
 		c.hot = hotChange{message: m, since: now}
 		c.runHot(now)
--- a/control/effect.go
+++ b/control/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"fulmarrun/audit"
 	"fulmarrun/handover"
@@ -78,6 +79,8 @@
 	First uint32
 	// Transfer names this hand-over; the records are sent under it.
 	Transfer uint64
+	// Patience is how long requests may run on before the move is given up.
+	Patience time.Duration
 	Reason   string
 }
 
--- a/control/move.go
+++ b/control/move.go
@@ -22,7 +22,7 @@
 	if !mustGo && now.Sub(c.membersSince) < settleTime {
 		return
 	}
-	moves := c.ownPlan()
+	moves := c.ready(now, c.ownPlan())
 	if len(moves) == 0 || !c.storeReady(now) {
 		return
 	}
@@ -54,7 +54,51 @@
 		}
 	}
 	c.moving = true
-	c.emit(Move{Moves: batch, First: first, Transfer: c.random.Uint64() | 1, Reason: why})
+	c.emit(Move{
+		Moves: batch, First: first, Transfer: c.random.Uint64() | 1,
+		Patience: c.patience(first), Reason: why,
+	})
+}
+
+const (
+	// firstPatience is how long requests may run on in slots that are to be given
+	// away before the move is put off, the first time.
+	firstPatience = time.Second
+	// maxPatience is the longest such time; it is as long as a request may be
+	// waited for.
+	maxPatience = 10 * time.Minute
+	// slowPause is how long a row is left alone after a move of it was put off.
+	slowPause = 500 * time.Millisecond
+)
+
+// slowRow is a row of slots whose requests ran on for too long.
+type slowRow struct {
+	until    time.Time
+	patience time.Duration
+}
+
+func (c *Core) patience(first uint32) time.Duration {
+	return max(firstPatience, c.slow[first].patience)
+}
+
+// ready returns the moves of rows that are not left alone for now, so that a long
+// request in one row does not keep the others here.
+func (c *Core) ready(now time.Time, moves []handover.Move) []handover.Move {
+	if len(c.slow) == 0 {
+		return moves
+	}
+	count := c.view.Snapshot().Count(c.self.Service)
+	return slices.DeleteFunc(moves, func(m handover.Move) bool {
+		return now.Before(c.slow[rowOf(m, count)].until)
+	})
+}
+
+// moveFailed leaves the row alone for a moment and is more patient next time.
+func (c *Core) moveFailed(now time.Time, m MoveFailed) {
+	c.moving, c.nextMove = false, now.Add(movePause)
+	c.slow[m.Move.First] = slowRow{
+		until: now.Add(slowPause), patience: min(maxPatience, 2*m.Move.Patience),
+	}
 }
 
 func rowOf(m handover.Move, count uint32) uint32 {
--- a/control/self.go
+++ b/control/self.go
@@ -81,6 +81,7 @@
 		c.planning = false
 	case PurposeMove:
 		c.writing, c.moving = false, false
+		delete(c.slow, m.Write.Move.First)
 	}
 	c.put(now, 0, rows)
 	if !m.Applied && c.version > 0 && missing(m.Rows, routes.MemberKey(c.self.Generation)) {
@@ -90,6 +91,9 @@
 	if m.Applied {
 		c.put(now, 0, tombstones(m.Write.Transaction))
 	}
+	if m.Write.Purpose == PurposeTakeover && m.Applied {
+		c.tellHeirs(rows)
+	}
 	if m.Write.Purpose == PurposeMove {
 		c.emit(MoveEnd{Move: m.Write.Move, Applied: m.Applied})
 	}
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -243,3 +244,23 @@
 	routes.Rank(far, uint64(m.Generation))
 	return far[:maxHeirs]
 }
+
+// tellHeirs sends a closed row to its heirs themselves, so that the time until
+// its slots are served again does not depend on the spreading of news.
+func (c *Core) tellHeirs(rows []wire.Row) {
+	for _, row := range rows {
+		var m wire.Member
+		if wire.Decode(row.Value, &m) != nil || m.State != wire.StateClosed {
+			continue
+		}
+		var to []netip.AddrPort
+		for _, heir := range m.Heirs {
+			if addr := c.addr(heir); addr.IsValid() && heir != c.self.Generation {
+				to = append(to, addr)
+			}
+		}
+		if len(to) > 0 {
+			c.emit(SpreadRows{To: to, Rows: []wire.Row{row}})
+		}
+	}
+}
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// moveTimeout bounds how long requests may run on in a slot that is to be
-	// given away, and the transfer of its records.
-	moveTimeout = 15 * time.Second
 	// recordsPerFrame bounds the records that one frame carries.
 	recordsPerFrame = 512
 	// stagedLife is how long records of a hand-over that did not come to its end
@@ -180,7 +177,7 @@
 
 // prepareMove empties the slots of a move and hands their records over.
 func (i *incarnation) prepareMove(ctx context.Context, m control.Move) {
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.Patience)
 	defer cancel()
 	for _, move := range m.Moves {
 		if err := i.prepareUnit(ctx, m.Transfer, move); err != nil {
