Bound targets by the price list's ceiling, and start anew with a target

The ceiling of the file was read and never applied; the adaptive limit went up to 100. A target that has started anew, by its announcements, starts at the low limit again. Daemons seed their jitter and choices differently.

A closed witness counted as a vote from the start of each attempt, which was begun anew each second, so that it never counted; it counts from when its closing was learned. A generation that is closed soon after its start waits before the next, up to 15 s: one that reaches the platform and no peer rejoined each second.

--- a/admission/core.go
+++ b/admission/core.go
@@ -428,6 +428,11 @@
 	c.latency = 0
 }
 
+// SetCeiling changes the greatest limit.
+func (c *Core) SetCeiling(ceiling int, now time.Time) {
+	c.limiter.SetCeiling(ceiling, now)
+}
+
 // Pause admits nothing until Resume. What can still make its deadline waits.
 func (c *Core) Pause() {
 	c.paused = true
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -164,6 +164,11 @@
 	g.change(func(now time.Time) { g.core.Restart(now) })
 }
 
+// SetCeiling changes the greatest limit. A fixed limit stays as it is.
+func (g *Gate) SetCeiling(ceiling int) {
+	g.change(func(now time.Time) { g.core.SetCeiling(ceiling, now) })
+}
+
 // Pause admits nothing until Resume. What can still make its deadline waits.
 func (g *Gate) Pause() {
 	g.change(func(time.Time) { g.core.Pause() })
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -310,6 +310,17 @@
 	l.cut = l.epoch
 }
 
+// SetCeiling changes the greatest limit.
+func (l *Limiter) SetCeiling(ceiling int, now time.Time) {
+	if l.fixed {
+		return
+	}
+	l.ceiling = max(ceiling, 1)
+	if l.limit > l.ceiling {
+		l.set(l.ceiling, now)
+	}
+}
+
 // set begins an epoch with a new limit, within bounds, and gives up a probe.
 func (l *Limiter) set(limit int, now time.Time) {
 	l.restore = 0
--- a/admission/limiter_test.go
+++ b/admission/limiter_test.go
@@ -149,3 +149,26 @@
 		})
 	}
 }
+
+// TestSetCeiling changes the ceiling of a gate in use.
+func TestSetCeiling(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		opts    []admission.Option
+		ceiling int
+		want    int
+	}{
+		{"below the limit", []admission.Option{admission.WithStart(8)}, 3, 3},
+		{"above the limit", []admission.Option{admission.WithStart(8)}, 30, 8},
+		{"less than one", []admission.Option{admission.WithStart(8)}, 0, 1},
+		{"fixed", []admission.Option{admission.WithFixedLimit(8)}, 3, 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			gate := admission.NewGate(tc.opts...)
+			gate.SetCeiling(tc.ceiling)
+			if got := gate.Stats().Limit; got != tc.want {
+				t.Errorf("limit %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -88,7 +88,7 @@
 	}
 	for _, w := range row.Witnesses {
 		if r := c.view.Member(w); r != nil && r.State == wire.StateClosed {
-			t.attempt.Closed(r.Member, now)
+			t.attempt.Closed(r.Member, c.closedSince[w])
 		}
 	}
 	c.takeovers[g] = t
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -168,14 +168,16 @@
 	return out
 }
 
-// remember applies what the configuration says of request IDs.
-func (i *incarnation) remember() {
+// applyService applies what the configuration says of the own service's request
+// IDs and target.
+func (i *incarnation) applyService() {
 	table := i.d.table.Load()
 	if table == nil {
 		return
 	}
 	if s, ok := table.Service(i.self.Service); ok {
 		i.ledger.Configure(s.Retain, s.Skew)
+		i.d.gate.SetCeiling(s.Ceiling)
 	}
 }
 
@@ -186,6 +188,6 @@
 	}
 	i.d.table.Store(m.table)
 	i.d.configs.enforce(m.current, m.text)
-	i.remember()
+	i.applyService()
 	i.d.log.Info("configuration in force", "instance", i.self.Instance, "number", m.Number, "author", m.current.Author)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,6 +32,14 @@
 	"fulmarrun/wire"
 )
 
+const (
+	// settledLife is how long a generation must live for the next to join at once.
+	settledLife = 30 * time.Second
+	// minRejoinPause and maxRejoinPause bound the wait before the next otherwise.
+	minRejoinPause = 500 * time.Millisecond
+	maxRejoinPause = 15 * time.Second
+)
+
 // answerBytes is the longest body of an answer.
 const answerBytes = 8 << 20
 
@@ -53,7 +62,7 @@
 // WithAdmission is a functional option that passes options to the admission of
 // the target, the retry budget and the pools.
 func WithAdmission(opts ...admission.Option) Option {
-	return func(d *Daemon) { d.admission = opts }
+	return func(d *Daemon) { d.admission = append(d.admission, opts...) }
 }
 
 // Daemon is the process beside one target.
@@ -122,6 +131,8 @@
 		grantNow: make(chan struct{}, 1),
 		aborted:  make(chan struct{}),
 	}
+	// Daemons must not jitter and choose in step with each other.
+	d.admission = []admission.Option{admission.WithSeed(rand.Uint64())}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -291,7 +302,12 @@
 
 // live runs one incarnation after another until a planned leave is done.
 func (d *Daemon) live(ctx context.Context, callers *http.Server) error {
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
+		if platform.Sleep(ctx, pause) != nil {
+			return nil
+		}
+		began := time.Now()
 		i := newIncarnation(d)
 		d.current.Store(i)
 		left, err := i.run(ctx)
@@ -304,11 +320,21 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		pause = rejoinPause(pause, time.Since(began))
 		d.log.Warn("generation closed", "generation", i.self.Generation, "instance", d.settings.Instance)
 	}
 	return nil
 }
 
+// rejoinPause spares the platform a daemon that is closed again and again, since
+// it reaches the platform and no peer.
+func rejoinPause(last, lived time.Duration) time.Duration {
+	if lived > settledLife {
+		return 0
+	}
+	return min(max(2*last, minRejoinPause), maxRejoinPause)
+}
+
 // shutDown lets the requests of callers finish.
 func (d *Daemon) shutDown(ctx context.Context, callers *http.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain)
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -88,7 +88,7 @@
 func (i *incarnation) run(ctx context.Context) (left bool, err error) {
 	i.ctx, i.cancel = context.WithCancel(ctx)
 	defer i.end()
-	i.remember()
+	i.applyService()
 	i.d.server.SetLedger(i.ledger)
 	i.publish()
 	i.spawn(func(ctx context.Context) {
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -40,6 +40,9 @@
 		d.client.Use(a.Address, a.Checks)
 		d.log.Info("target announced", "instance", d.settings.Instance, "address", a.Address, "checks", a.Checks)
 	}
+	if before.restarted(a, now) {
+		d.gate.Restart()
+	}
 	switch {
 	case a.State == target.StateLeaving:
 		// Keyed requests wait in the paused queue until their slots have moved.
@@ -62,6 +65,13 @@
 	return a.seen && now.Sub(a.at) < announceLife
 }
 
+// restarted tells whether an announcement is the first of a target that has
+// started anew.
+func (a announced) restarted(next target.Announcement, now time.Time) bool {
+	return !a.present(now) || a.Address != next.Address || next.Stamp < a.Stamp ||
+		next.State == target.StateCold && a.State != target.StateCold
+}
+
 // grantsFor returns the grants of a generation; targetMu is held.
 func (d *Daemon) grantsFor(g wire.Generation) *target.Grants {
 	if d.grants == nil || d.granted != g {
