owner: watch for a change of hands only while a request is queued

Each keyed request made a context and registered a recall before it asked to be admitted, though most are admitted at once. The context now does so when the gate first waits on it; a request that does not wait runs, as one that began before. Adds the test that a queued request is recalled.

--- a/owner/server.go
+++ b/owner/server.go
@@ -270,12 +270,10 @@
 		p, err = s.gate.Enter(ctx, ticket)
 		return p, false, err
 	}
-	queue, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := s.units.Recall(j.unit, cancel)
-	defer stop()
+	queue := &queueContext{Context: ctx, units: s.units, unit: j.unit}
 	p, err = s.gate.Enter(queue, ticket)
-	return p, err != nil && queue.Err() != nil && ctx.Err() == nil, err
+	recalled = queue.end()
+	return p, err != nil && recalled, err
 }
 
 // dispatch hands the request to the target. A target that has not been granted
--- a/owner/server_test.go
+++ b/owner/server_test.go
@@ -252,6 +252,25 @@
 	}
 }
 
+// What waits for the target leaves a unit that is to change hands, and is routed
+// again.
+func TestRecalledFromTheQueue(t *testing.T) {
+	for _, kind := range []string{"book", "visit"} {
+		d := newDaemon(t)
+		d.gate.Pause()
+		answer := d.start(context.Background(), request(kind))
+		until(t, "a request that waits", func() bool { return d.gate.Stats().Queued == 1 })
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if err := d.units.Freeze(ctx, unit); err != nil {
+			t.Errorf("%s: %v", kind, err)
+		}
+		cancel()
+		if got := <-answer; !got.Moved || d.runs.Load() != 0 || d.gate.Stats().Queued != 0 {
+			t.Errorf("%s: %+v after %d runs", kind, got, d.runs.Load())
+		}
+	}
+}
+
 func TestFrozenUnit(t *testing.T) {
 	t.Run("served after a thaw", func(t *testing.T) {
 		d := newDaemon(t)
