--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 build:
 	CGO_ENABLED=1 go build -o $(BIN)/fulmarrun ./cmd/fulmarrun
 
-# Tests that fail for a known fault that is not mended yet: the first word of each
+# Tests (top level) that fail for a known fault: the first word of each
 # line of KNOWN-RED.txt that does not start with '#'. CI passes over just these.
 RED := $(shell [ ! -f KNOWN-RED.txt ] || sed -e '/^\#/d' -e '/^[[:space:]]*$$/d' -e 's/[[:space:]].*//' KNOWN-RED.txt | paste -sd '|')
 
