Measure stragglers, imbalance and changes of ownership

The benches run the two users' services at today's sizes in one process, against the plain options of the same code.

--- /dev/null
+++ b/e2e/measure_test.go
@@ -0,0 +1,196 @@
+package e2e_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fulmarrun/admission"
+	"fulmarrun/daemon"
+	"fulmarrun/targetstub"
+)
+
+const (
+	calorTico = "../docs/examples/calor-tico.json"
+	clepsidra = "../docs/examples/clepsidra.json"
+	// measureSeed chooses keys and the daemons that are asked.
+	measureSeed = 1
+	// work is how long a request takes at a target that is not a straggler.
+	work = 5 * time.Millisecond
+)
+
+// policy is a choice of options of the same code.
+type policy struct {
+	name    string
+	options []admission.Option
+}
+
+func policies() []policy {
+	return []policy{
+		{"default", nil},
+		{"no hedge", []admission.Option{admission.WithHedgeCost(-1)}},
+		{"no ejection", []admission.Option{admission.WithEjectShare(0)}},
+		{"two choices alone", []admission.Option{admission.WithHedgeCost(-1), admission.WithEjectShare(0)}},
+		{"round robin", []admission.Option{admission.WithRoundRobin(), admission.WithHedgeCost(-1), admission.WithEjectShare(0)}},
+		{"round robin, fixed limit", []admission.Option{
+			admission.WithRoundRobin(), admission.WithHedgeCost(-1), admission.WithEjectShare(0), admission.WithFixedLimit(20),
+		}},
+	}
+}
+
+func (p policy) option() daemon.Option { return daemon.WithAdmission(p.options...) }
+
+func calorTicoDomains() []string { return []string{"sanjose", "heredia", "cartago"} }
+
+func calorTicoGangs() []gang {
+	return []gang{{"agenda", 4, work}, {"despacho", 3, work}, {"compras", 3, work}}
+}
+
+func plan(random *rand.Rand) shot {
+	day := fmt.Sprint(random.IntN(100))
+	return shot{http.MethodGet, "/despacho/plans/" + day, day}
+}
+
+// BenchmarkStraggler measures latency while one target of a service takes 200 ms
+// longer, from two seconds after the start.
+func BenchmarkStraggler(b *testing.B) {
+	for _, p := range policies() {
+		b.Run("unkeyed/"+strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) { straggle(b, p, "despacho", plan) })
+	}
+	for _, p := range []policy{policies()[0], policies()[5]} {
+		b.Run("keyed/"+strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) {
+			straggle(b, p, "agenda", func(random *rand.Rand) shot {
+				visit := fmt.Sprint(random.IntN(500))
+				return shot{http.MethodGet, "/agenda/visits/" + visit, visit}
+			})
+		})
+	}
+}
+
+func straggle(b *testing.B, p policy, service string, next func(*rand.Rand) shot) {
+	f := assemble(b, calorTico, calorTicoDomains(), calorTicoGangs(), p.option())
+	for b.Loop() {
+		tr := f.traffic(5*time.Millisecond, measureSeed, next)
+		time.Sleep(2 * time.Second)
+		b.Logf("%s, before: %s", p.name, tr.line())
+		tr.reset()
+		for _, n := range f.nodes {
+			if n.settings.Instance == service+"-1" {
+				n.stub.SetFault(targetstub.Fault{Delay: 200 * time.Millisecond})
+			}
+		}
+		time.Sleep(10 * time.Second)
+		b.Logf("%s, one straggles: %s", p.name, tr.line())
+		tr.end()
+		b.Logf("%s, runs: %v", p.name, f.total(service))
+	}
+}
+
+// BenchmarkImbalance measures how even the load of targets is.
+func BenchmarkImbalance(b *testing.B) {
+	zipf := func(random *rand.Rand) shot {
+		visit := fmt.Sprint(rand.NewZipf(random, 1.2, 1, 1000).Uint64())
+		return shot{http.MethodGet, "/agenda/visits/" + visit, visit}
+	}
+	uniform := func(random *rand.Rand) shot {
+		visit := fmt.Sprint(random.IntN(5000))
+		return shot{http.MethodGet, "/agenda/visits/" + visit, visit}
+	}
+	for _, c := range []struct {
+		name    string
+		policy  policy
+		service string
+		next    func(*rand.Rand) shot
+	}{
+		{"unkeyed/default", policies()[0], "despacho", plan},
+		{"unkeyed/round-robin", policies()[4], "despacho", plan},
+		{"keyed/uniform", policies()[0], "agenda", uniform},
+		{"keyed/zipf-1.2", policies()[0], "agenda", zipf},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			f := assemble(b, calorTico, calorTicoDomains(), calorTicoGangs(), c.policy.option())
+			for b.Loop() {
+				tr := f.traffic(2*time.Millisecond, measureSeed, c.next)
+				time.Sleep(8 * time.Second)
+				tr.end()
+				most, sum, counts := 0, 0, f.total(c.service)
+				for _, n := range counts {
+					most, sum = max(most, n), sum+n
+				}
+				b.ReportMetric(float64(most)*float64(len(counts))/float64(sum), "max/mean")
+				b.Logf("%s: %v; %s", c.name, counts, tr.line())
+			}
+		})
+	}
+}
+
+// BenchmarkChange measures which slots move and what callers see, while
+// instances join, leave and are lost, and a domain is taken out and returned.
+func BenchmarkChange(b *testing.B) {
+	const slots = 2048
+	keys := keysOf(slots)
+	g := gang{"atelier-front", 6, work}
+	f := assemble(b, clepsidra, []string{"cluj-a", "cluj-b", "cluj-c"},
+		[]gang{g, {"casierie", 4, work}, {"banc-lucru", 3, work}})
+	out := strings.Replace(f.text, `"out": []`, `"out": ["cluj-b"]`, 1)
+	in := f.text
+	// Each of 40 keys is asked for every 100 ms.
+	turn := 0
+	next := func(*rand.Rand) shot {
+		turn++
+		instrument := fmt.Sprint(turn % 40)
+		return shot{http.MethodGet, "/atelier-front/instruments/" + instrument, instrument}
+	}
+	var joined *node
+	for b.Loop() {
+		for _, e := range []struct {
+			name string
+			do   func()
+		}{
+			{"join of a 7th", func() { joined = f.join(g) }},
+			{"leave of the 7th", func() { f.leave(joined) }},
+			{"join of a 7th again", func() { joined = f.join(g) }},
+			{"loss of the 7th", func() { f.lose(joined) }},
+			{"cluj-b is taken out", func() { f.apply(out) }},
+			{"cluj-b returns", func() { f.apply(in) }},
+		} {
+			change(b, f, g.service, keys, e.name, e.do, next)
+		}
+	}
+}
+
+func change(b *testing.B, f *fleet, service string, keys []string, name string, do func(), next func(*rand.Rand) shot) {
+	b.Helper()
+	before := f.holdings(service, keys)
+	owned := make(map[string]int)
+	for _, h := range before {
+		owned[h.instance]++
+	}
+	entries := *f
+	entries.nodes = f.nodes[:6]
+	tr := entries.traffic(2500*time.Microsecond, measureSeed, next)
+	time.Sleep(time.Second)
+	tr.reset()
+	start := time.Now()
+	do()
+	f.wait()
+	took := time.Since(start)
+	time.Sleep(time.Second)
+	line, gap := tr.line(), tr.longestGap()
+	tr.end()
+	after := f.holdings(service, keys)
+	moved, changes := compare(before, after)
+	now := make(map[string]int)
+	for _, h := range after {
+		now[h.instance]++
+	}
+	least := 0
+	for instance, n := range owned {
+		least += max(0, n-now[instance])
+	}
+	b.Logf("%s: even after %s; slots moved %d, changes of owner %d, least that must move %d; %s; longest gap of a key %s",
+		name, took.Round(time.Millisecond), moved, changes, least, line, gap)
+}
