Tell a target's complaint from the answer of another request

The check was wrong; it now demands of every answer that the target repeats the request's ID in its header, and of every one but that 504 that it echoes the request.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -282,8 +282,10 @@
 	reason  string
 	retry   string
 	id      string
-	body    targetstub.Echo
-	err     error
+	// target is the ID that the target repeats in its answer.
+	target string
+	body   targetstub.Echo
+	err    error
 }
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 15 * time.Second}
@@ -308,7 +310,7 @@
 	a := answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(caller.HeaderOutcome),
 		reason: resp.Header.Get(caller.HeaderReason), retry: resp.Header.Get("Retry-After"),
-		id: resp.Header.Get(caller.HeaderRequestID),
+		id: resp.Header.Get(caller.HeaderRequestID), target: resp.Header.Get(caller.HeaderIdempotencyKey),
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
--- a/e2e/trace_test.go
+++ b/e2e/trace_test.go
@@ -120,7 +120,7 @@
 			out.unrun++
 			d.t.Errorf("answered but never ran: %+v", a)
 		}
-		if a.answer.body.ID != a.id || !strings.HasSuffix(a.path, a.answer.body.Path) || a.answer.body.Method != a.method {
+		if !a.own() {
 			out.foreign++
 			d.t.Errorf("answer of another request: %+v", a)
 		}
@@ -138,6 +138,21 @@
 	}
 }
 
+// own tells whether an answer is that of the target to this very request: each
+// repeats the ID, and one that is not the target's complaint that the deadline
+// has passed echoes the request.
+func (a asked) own() bool {
+	if a.answer.target != a.id {
+		return false
+	}
+	if a.answer.status == http.StatusGatewayTimeout {
+		return true
+	}
+	body := a.answer.body
+	return a.answer.status == http.StatusOK && body.ID == a.id && body.Method == a.method &&
+		strings.HasSuffix(a.path, body.Path)
+}
+
 // load is a steady stream of requests.
 type load struct {
 	stop context.CancelFunc
@@ -192,12 +207,16 @@
 	run := []started{{at: at.Add(-time.Second), method: http.MethodPost}}
 	late := []started{{at: at.Add(time.Second), method: http.MethodPost}}
 	told := func(outcome string) asked {
-		a := asked{method: http.MethodPost, path: "/agenda/orders", id: "a", received: at, answer: answer{outcome: outcome}}
+		a := asked{method: http.MethodPost, path: "/agenda/orders", id: "a", received: at, answer: answer{
+			status: http.StatusOK, outcome: outcome, target: "a",
+		}}
 		a.answer.body.ID, a.answer.body.Path, a.answer.body.Method = "a", "/orders", http.MethodPost
 		return a
 	}
 	crossed := told("answered")
 	crossed.answer.body.ID = "b"
+	late504 := told("answered")
+	late504.answer.status, late504.answer.target = http.StatusGatewayTimeout, "b"
 	for _, c := range []struct {
 		name string
 		ask  asked
@@ -213,6 +232,7 @@
 		{"not run but ran before", told("not-run"), run, true, true},
 		{"not run but runs later", told("not-run"), late, false, true},
 		{"crossed", crossed, run, true, true},
+		{"a complaint about another request", late504, run, true, true},
 	} {
 		fake := &recording{TB: t}
 		var out tally
