owner: prove planned stops in virtual time, which finds lapsed leases

Cores, units, gates and the platform stand-in run as goroutines in a synctest bubble; requests of generated lengths run and wait while daemons leave, the platform is down and one that stays is lost. The oracle: nothing is cut off, each request ends with a true answer, who has left is closed and owns nothing, and a target that leaves is given nothing from that moment. The shell is the test's own: owner.Server can't be in a bubble, since its client opens sockets, on which virtual time does not pass.

What it found, and what is red: when witnesses leave together, those who stay lose their lease for a moment and cut off what they run.

--- /dev/null
+++ b/owner/promise_leave_test.go
@@ -0,0 +1,435 @@
+package owner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fulmarrun/admission"
+	"fulmarrun/control"
+	"fulmarrun/handover"
+	"fulmarrun/outcome"
+	"fulmarrun/platform"
+	"fulmarrun/platformstub"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+const (
+	leaveSlots   = 2 * routes.SlotsPerRow
+	leaveDaemons = 4
+	leaveDrain   = 30 * time.Second
+	leaveLimit   = 6 // requests that a target is given at once
+	hop          = time.Millisecond
+)
+
+// leaveMistakes break rules of the shell around the core.
+type leaveMistakes struct {
+	noWait   bool // a unit is handed over while requests run in it
+	noRecall bool // what is queued is not called back from a unit that moves
+	early    bool // a daemon ends once the table has it that it leaves
+	noPause  bool // a target that leaves is given more
+}
+
+// fleet is a set of daemons in one bubble of virtual time.
+type fleet struct {
+	mistakes leaveMistakes
+	ctx      context.Context
+	stub     *platformstub.Stub
+	wg       sync.WaitGroup
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	members   []*member
+	violation string
+	requests  []*leaveRequest
+}
+
+// leaveRequest is one request and what became of it.
+type leaveRequest struct {
+	slot   uint32
+	length time.Duration
+	began  int
+	whole  int
+	// broken is true if a daemon was lost while it had the request.
+	broken bool
+	answer wire.Outcome
+	ended  bool
+}
+
+// member is a shell around a core as package daemon has it.
+type member struct {
+	f     *fleet
+	self  wire.Member
+	core  *control.Core
+	inbox chan control.Message
+	store *platform.Store
+	units *handover.Units
+	gate  *admission.Gate
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	snapshot atomic.Pointer[routes.Snapshot]
+	until    atomic.Pointer[time.Time]
+	running  atomic.Int64
+	lost     atomic.Bool
+	// gone is true once the leave is done.
+	gone   bool
+	paused bool
+	asked  time.Time
+	// last is when a request last began here.
+	last time.Time
+}
+
+func (f *fleet) fail(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.violation == "" {
+		f.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+func (f *fleet) intn(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+func newFleet(ctx context.Context, seed uint64, mistakes leaveMistakes) *fleet {
+	f := &fleet{
+		mistakes: mistakes, ctx: ctx, random: rand.New(rand.NewPCG(seed, 3)),
+		stub: platformstub.New(platformstub.WithSeed(seed), platformstub.WithFaults(platformstub.Faults{Latency: 2 * hop})),
+	}
+	for i := range leaveDaemons {
+		f.members = append(f.members, newMember(f, i))
+	}
+	for _, m := range f.members {
+		f.wg.Go(m.run)
+	}
+	return f
+}
+
+func newMember(f *fleet, i int) *member {
+	m := &member{
+		f: f, store: f.stub.Store(), units: handover.NewUnits(), inbox: make(chan control.Message, 4096),
+		gate: admission.NewGate(admission.WithFixedLimit(leaveLimit)),
+		self: wire.Member{
+			Instance: fmt.Sprint("agenda-", i), Generation: wire.Generation(i + 1), Service: "agenda", Region: "valle-central",
+			Domain: string(rune('a' + i%3)), Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i)),
+		},
+	}
+	names := 0
+	m.core = control.NewCore(m.self, control.WithSeed(uint64(i)), control.WithNames(func() string {
+		names++
+		return fmt.Sprintf("%d-%d", i, names)
+	}))
+	m.ctx, m.cancel = context.WithCancel(f.ctx)
+	m.publish()
+	return m
+}
+
+// run is the control goroutine.
+func (m *member) run() {
+	defer m.cancel()
+	m.spawn(func() {
+		m.load(func(r []wire.Row) control.Message { return control.Loaded{Rows: r, Wall: time.Now()} })
+	})
+	m.post(control.ConfigLoaded{Number: 1, Services: []control.ServiceShape{{Name: "agenda", Slots: leaveSlots}}})
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	for !m.gone {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-ticker.C:
+			m.step(control.Tick{StoreAnswered: m.store.Answered(), Wall: time.Now()})
+		case message := <-m.inbox:
+			m.step(message)
+		}
+	}
+	if n := m.running.Load(); n > 0 {
+		m.f.fail("%s has left with %d requests running", m.self.Instance, n)
+	}
+	if took := time.Since(m.asked); took > leaveDrain {
+		m.f.fail("%s took %v to leave", m.self.Instance, took)
+	}
+}
+
+func (m *member) spawn(do func()) { m.f.wg.Go(do) }
+
+func (m *member) post(message control.Message) {
+	select {
+	case m.inbox <- message:
+	case <-m.ctx.Done():
+	}
+}
+
+func (m *member) step(message control.Message) {
+	effects := slices.Clone(m.core.Step(time.Now(), message))
+	for _, e := range effects {
+		m.carryOut(e)
+	}
+	m.publish()
+	for _, e := range effects {
+		if end, ok := e.(control.MoveEnd); ok {
+			m.thaw(end.Move)
+		}
+	}
+	m.gone = m.gone || m.f.mistakes.early && m.core.Self().State == wire.StateLeaving
+}
+
+func (m *member) publish() {
+	until := m.core.LeaseUntil()
+	m.until.Store(&until)
+	next := m.core.Snapshot()
+	if old := m.snapshot.Swap(next); old != nil && old != next {
+		old.Retire()
+	}
+}
+
+func (m *member) leased() bool { return m.ctx.Err() == nil && time.Now().Before(*m.until.Load()) }
+
+// reach runs do with the member at an address, one hop later, unless it is gone.
+func (m *member) reach(to netip.AddrPort, do func(*member)) bool {
+	time.Sleep(hop)
+	for _, p := range m.f.members {
+		if p.self.Peer == to && p.ctx.Err() == nil {
+			do(p)
+			return true
+		}
+	}
+	return false
+}
+
+func (m *member) carryOut(e control.Effect) {
+	switch e := e.(type) {
+	case control.SendHeartbeat:
+		m.spawn(func() { m.reach(e.To, func(p *member) { p.post(control.Heartbeat{Heartbeat: e.Heartbeat}) }) })
+	case control.AskVote:
+		m.spawn(func() {
+			m.reach(e.To, func(p *member) {
+				p.post(control.VoteArrived{Vote: e.Vote, Reply: func(v wire.Verdict) {
+					m.spawn(func() { m.post(control.VerdictArrived{Witness: e.Witness, Verdict: v}) })
+				}})
+			})
+		})
+	case control.Write:
+		m.spawn(func() { m.write(e) })
+	case control.SpreadRows:
+		for _, to := range e.To {
+			m.spawn(func() {
+				m.reach(to, func(p *member) { p.post(control.RowsArrived{From: m.self.Generation, Rows: e.Rows}) })
+			})
+		}
+	case control.Move:
+		m.spawn(func() { m.prepare(e) })
+	case control.Probe:
+		m.spawn(func() {
+			_, _ = m.store.Get(m.ctx, "config/current")
+			m.post(control.Tick{StoreAnswered: m.store.Answered(), Wall: time.Now()})
+		})
+	case control.Reload:
+		m.spawn(func() { m.load(func(r []wire.Row) control.Message { return control.RowsArrived{Rows: r} }) })
+	case control.Drain:
+		m.spawn(m.drain)
+	case control.Closed:
+		m.f.fail("%s is closed: %s", m.self.Instance, e.Reason)
+	case control.Empty:
+		m.gone = true
+	}
+}
+
+func (m *member) write(w control.Write) {
+	out := platform.Settle(m.ctx, m.store, w.Transaction, func(row platform.Row) bool {
+		return slices.ContainsFunc(w.Transaction.Writes, func(w platform.Write) bool {
+			return w.Key == row.Key && (w.Delete && row.Version == 0 || !w.Delete && bytes.Equal(w.Value, row.Value))
+		})
+	})
+	if out.Verdict != platform.Unknown {
+		m.post(control.WriteDone{Write: w, Applied: out.Verdict == platform.Applied, Rows: out.Rows})
+	}
+}
+
+func (m *member) load(message func([]wire.Row) control.Message) {
+	var rows []wire.Row
+	for _, prefix := range []string{routes.MemberPrefix, routes.SlotsPrefix} {
+		_ = platform.Repeat(m.ctx, func() error {
+			page, err := m.store.List(m.ctx, prefix, "", 100)
+			for _, r := range page {
+				rows = append(rows, wire.Row{Key: r.Key, Version: r.Version, Value: r.Value})
+			}
+			return err
+		})
+	}
+	m.post(message(rows))
+}
+
+// prepare empties the slots of a move; their records are not part of this proof.
+func (m *member) prepare(move control.Move) {
+	ctx, cancel := context.WithTimeout(m.ctx, move.Patience)
+	defer cancel()
+	for _, one := range move.Moves {
+		if m.f.mistakes.noWait {
+			cancel()
+		}
+		err := m.units.Freeze(ctx, outcome.Unit{Service: "agenda", Slot: one.Slot})
+		to := m.snapshot.Load().Owner(one.To)
+		if err != nil && !m.f.mistakes.noWait || to == nil || !m.reach(to.Peer, func(*member) {}) {
+			m.thaw(move)
+			m.post(control.MoveFailed{Move: move})
+			return
+		}
+	}
+	m.post(control.MoveReady{Move: move})
+}
+
+func (m *member) thaw(move control.Move) {
+	for _, one := range move.Moves {
+		m.units.Thaw(outcome.Unit{Service: "agenda", Slot: one.Slot})
+	}
+}
+
+func (m *member) drain() {
+	m.gate.Close()
+	for m.gate.Stats().InFlight > 0 {
+		if platform.Sleep(m.ctx, 5*time.Millisecond) != nil {
+			return
+		}
+	}
+	m.post(control.Drained{})
+}
+
+// leave starts a planned leave, as the operator or the target asks for it.
+func (m *member) leave(target bool) {
+	m.f.mu.Lock()
+	m.asked, m.paused = time.Now(), target
+	m.f.mu.Unlock()
+	if target && !m.f.mistakes.noPause {
+		m.gate.Pause()
+	}
+	m.post(control.LeaveAsked{Reason: "planned"})
+}
+
+// crash ends a member without a word.
+func (m *member) crash() {
+	m.lost.Store(true)
+	m.cancel()
+}
+
+// serve runs a request in a slot that is owned here; moved is true if it is to
+// be routed again.
+func (m *member) serve(ctx context.Context, r *leaveRequest) (answer wire.Outcome, moved bool) {
+	unit := outcome.Unit{Service: "agenda", Slot: r.slot}
+	for {
+		if !m.owns(r.slot) {
+			return wire.OutcomeNotRun, true
+		}
+		wait := m.units.Enter(unit)
+		if wait == nil {
+			break
+		}
+		select {
+		case <-wait:
+		case <-m.ctx.Done():
+			return wire.OutcomeNotRun, true
+		case <-ctx.Done():
+			return wire.OutcomeNotRun, false
+		}
+	}
+	defer m.units.Leave(unit)
+	if !m.owns(r.slot) {
+		return wire.OutcomeNotRun, true
+	}
+	queue, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !m.f.mistakes.noRecall {
+		defer m.units.Recall(unit, cancel)()
+	}
+	deadline, _ := ctx.Deadline()
+	permit, err := m.gate.Enter(queue, admission.Ticket{Deadline: deadline})
+	if err != nil {
+		return wire.OutcomeNotRun, queue.Err() != nil && ctx.Err() == nil
+	}
+	answer = m.work(r)
+	permit.Done(admission.Completion{Latency: r.length, Result: admission.OK})
+	return answer, false
+}
+
+func (m *member) owns(slot uint32) bool {
+	for h := range m.snapshot.Load().Holdings("agenda") {
+		if h.Slot == slot && h.Key == "" {
+			return m.leased() && h.Owner != nil && h.Owner.Generation == m.self.Generation
+		}
+	}
+	return false
+}
+
+// work is the target's part. It is cut off if the daemon goes.
+func (m *member) work(r *leaveRequest) wire.Outcome {
+	m.f.mu.Lock()
+	r.began++
+	m.last = time.Now()
+	late := m.paused
+	m.f.mu.Unlock()
+	if late {
+		m.f.fail("a request began at the target of %s, which leaves", m.self.Instance)
+	}
+	if !m.owns(r.slot) {
+		m.f.fail("a request began in slot %d at %s, which does not own it", r.slot, m.self.Instance)
+	}
+	m.running.Add(1)
+	defer m.running.Add(-1)
+	end := time.Now().Add(r.length)
+	for time.Now().Before(end) {
+		select {
+		case <-time.After(min(10*time.Millisecond, time.Until(end))):
+		case <-m.ctx.Done():
+		}
+		switch {
+		case m.lost.Load() || m.f.ctx.Err() != nil:
+			r.broken = true
+			return wire.OutcomeUnknown
+		case !m.owns(r.slot):
+			m.f.fail("a request was cut off in slot %d at %s", r.slot, m.self.Instance)
+			return wire.OutcomeUnknown
+		}
+	}
+	r.whole++
+	return wire.OutcomeAnswered
+}
+
+// route brings a request to the owner of its slot, whoever that is by the time.
+func (f *fleet) route(r *leaveRequest, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(f.ctx, wait)
+	defer cancel()
+	answer, moved := wire.OutcomeNotRun, true
+	for moved && ctx.Err() == nil {
+		if m := f.ownerOf(r.slot); m != nil {
+			answer, moved = m.serve(ctx, r)
+		}
+		if moved {
+			_ = platform.Sleep(ctx, 10*hop)
+		}
+	}
+	r.answer, r.ended = answer, true
+}
+
+// ownerOf returns who owns a slot as some daemon knows it.
+func (f *fleet) ownerOf(slot uint32) *member {
+	from := f.members[f.intn(len(f.members))]
+	if from.ctx.Err() != nil {
+		return nil
+	}
+	for h := range from.snapshot.Load().Holdings("agenda") {
+		if h.Slot == slot && h.Owner != nil {
+			return f.members[h.Owner.Generation-1]
+		}
+	}
+	return nil
+}
