Catch broken rules by the whole model, and mend losses and churn

Faults found by measuring, with nine daemons in three failure domains:

Cause: a daemon that joined when few others were there had all witnesses in two domains, its own among them, and kept them for ever. - Taking a domain out moved 89 slots where 22 had to, and its return 43 for 21. Cause: who did not have the new configuration yet gave the slots back for balance. - The plan is kept while nothing changes; leaving rows alone deleted from the kept one, so it deletes from a copy now.

--- a/control/core.go
+++ b/control/core.go
@@ -31,10 +31,8 @@
 	gapWait = 500 * time.Millisecond
 	// gapRest is the time between two such readings.
 	gapRest = 3 * time.Second
-	// movePause is how long no hand-over is started after one was given up.
-	movePause = time.Second
-	// settleTime is how long the members must be unchanged before slots move
-	// for balance alone.
+	// settleTime is how long members, slots and configuration must be unchanged
+	// before slots move for balance alone: others may not have them all yet.
 	settleTime = time.Second
 	// retainClosed is how long the row of a closed generation is kept.
 	retainClosed = 10 * time.Minute
@@ -112,9 +110,12 @@
 	nextUpkeep    time.Time
 	nextCompare   time.Time
 	nextProbe     time.Time
-	nextMove      time.Time
 	nextFill      time.Time
-	membersSince  time.Time
+	// quietSince is when others last changed the members or slots of the own
+	// service, or the configuration did.
+	quietSince time.Time
+	// moved is true from an own move until the plan has been made anew.
+	moved bool
 	// leased tells whether the lease was held at the last tick, and leasedSince
 	// since when that has been so.
 	leased      bool
@@ -124,6 +125,9 @@
 	// ring is kept while View.Changes is at ringOf.
 	ring   []wire.Generation
 	ringOf uint64
+	// placedOf is View.Changes when the places of the witnesses were last compared
+	// with those of all members.
+	placedOf uint64
 	// moves is the own plan for planOf at the configuration planNumber.
 	moves       []handover.Move
 	planOf      *routes.Snapshot
@@ -261,11 +265,7 @@
 		if row.Version == 0 {
 			continue
 		}
-		before := c.view.Changes()
 		if isNew, err := c.view.Put(row); err == nil && isNew {
-			if c.view.Changes() != before {
-				c.membersChanged(now, row)
-			}
 			news = append(news, row)
 			c.noticeRow(now, row)
 		}
@@ -353,15 +353,6 @@
 	c.emit(Closed{Reason: reason})
 }
 
-// membersChanged notes the time if it has changed who is a member of the own
-// service.
-func (c *Core) membersChanged(now time.Time, row wire.Row) {
-	var m wire.Member
-	if row.Deleted || wire.Decode(row.Value, &m) == nil && m.Service == c.self.Service {
-		c.membersSince = now
-	}
-}
-
 func (c *Core) rowsArrived(now time.Time, m RowsArrived) { c.put(now, m.From, m.Rows) }
 
 func (c *Core) addr(g wire.Generation) netip.AddrPort {
@@ -394,9 +385,13 @@
 }
 
 // ownPlan returns the moves that self should make.
-func (c *Core) ownPlan() []handover.Move {
+func (c *Core) ownPlan(now time.Time) []handover.Move {
 	snapshot := c.view.Snapshot()
-	if snapshot != c.planOf || c.config.Number != c.planNumber {
+	if !snapshot.Same(c.planOf, c.self.Service) || c.config.Number != c.planNumber {
+		if !c.moved {
+			c.quietSince = now
+		}
+		c.moved = false
 		c.moves = handover.Plan(snapshot, c.self.Service, c.eligible, c.self.Generation)
 		c.planOf, c.planNumber = snapshot, c.config.Number
 	}
--- a/control/move.go
+++ b/control/move.go
@@ -13,16 +13,17 @@
 
 // startMove begins the next hand-over of own slots, one row at a time.
 func (c *Core) startMove(now time.Time) {
-	if now.Before(c.nextMove) || c.moving || c.closing || c.planning || !c.holder.Valid(now) {
+	moves := c.ownPlan(now)
+	if c.moving || c.closing || c.planning || !c.holder.Valid(now) {
 		return
 	}
 	mustGo := !c.eligible(&routes.Owner{
 		State: c.self.State, Service: c.self.Service, Domain: c.self.Domain, Instance: c.self.Instance,
 	})
-	if !mustGo && now.Sub(c.membersSince) < settleTime {
+	if !mustGo && now.Sub(c.quietSince) < settleTime {
 		return
 	}
-	moves := c.ready(now, c.ownPlan())
+	moves = c.ready(now, moves)
 	if len(moves) == 0 || !c.storeReady(now) {
 		return
 	}
@@ -88,14 +89,14 @@
 		return moves
 	}
 	count := c.view.Snapshot().Count(c.self.Service)
-	return slices.DeleteFunc(moves, func(m handover.Move) bool {
+	return slices.DeleteFunc(slices.Clone(moves), func(m handover.Move) bool {
 		return now.Before(c.slow[rowOf(m, count)].until)
 	})
 }
 
 // moveFailed leaves the row alone for a moment and is more patient next time.
 func (c *Core) moveFailed(now time.Time, m MoveFailed) {
-	c.moving, c.nextMove = false, now.Add(movePause)
+	c.moving = false
 	c.slow[m.Move.First] = slowRow{
 		until: now.Add(slowPause), patience: min(maxPatience, 2*m.Move.Patience),
 	}
--- a/control/process_test.go
+++ b/control/process_test.go
@@ -303,6 +303,9 @@
 // end starts a new generation soon, unless another holds the address.
 func (p *process) end() {
 	p.dead = true
+	if p.w.ends {
+		return
+	}
 	p.w.after(p.w.between(0, 500*time.Millisecond), func() { p.w.restart(p) })
 }
 
--- a/control/self.go
+++ b/control/self.go
@@ -80,7 +80,7 @@
 	case PurposePlan:
 		c.planning = false
 	case PurposeMove:
-		c.writing, c.moving = false, false
+		c.writing, c.moving, c.moved = false, false, m.Applied
 		delete(c.slow, m.Write.Move.First)
 	}
 	c.put(now, 0, rows)
@@ -170,7 +170,7 @@
 			keep = append(keep, g)
 		}
 	}
-	if len(keep) == lease.MaxWitnesses {
+	if len(keep) == lease.MaxWitnesses && c.wellPlaced(keep) {
 		return nil, ""
 	}
 	want = lease.Choose(c.self, c.witnessCandidates(), keep)
@@ -181,6 +181,8 @@
 		return nil, ""
 	case len(keep) < len(c.self.Witnesses) && !slices.Equal(want, c.self.Witnesses):
 		return want, "a witness is gone"
+	case c.otherDomains(want) > c.otherDomains(c.self.Witnesses):
+		return want, "witnesses in more failure domains are there"
 	case len(want) > len(c.self.Witnesses):
 		return want, "more witnesses are there"
 	default:
@@ -188,6 +190,38 @@
 	}
 }
 
+// wellPlaced tells whether no other members could be witnesses in more failure
+// domains, or whether that has been looked into since members last changed.
+func (c *Core) wellPlaced(witnesses []wire.Generation) bool {
+	if c.placedOf == c.view.Changes() {
+		return true
+	}
+	c.placedOf = c.view.Changes()
+	var domains []string
+	for _, m := range c.view.Members() {
+		if c.isOther(m) && c.isElsewhere(m) && !slices.Contains(domains, m.Domain) {
+			domains = append(domains, m.Domain)
+		}
+	}
+	return c.otherDomains(witnesses) >= min(len(domains), lease.MaxWitnesses)
+}
+
+func (c *Core) isElsewhere(m *routes.MemberRow) bool {
+	return m.Region == c.self.Region && m.Domain != c.self.Domain
+}
+
+// otherDomains counts the failure domains of the region, without the own, that
+// the given members are in.
+func (c *Core) otherDomains(members []wire.Generation) int {
+	var domains []string
+	for _, g := range members {
+		if m := c.view.Member(g); m != nil && c.isElsewhere(m) && !slices.Contains(domains, m.Domain) {
+			domains = append(domains, m.Domain)
+		}
+	}
+	return len(domains)
+}
+
 // keepLeaving takes a planned leave to its end.
 func (c *Core) keepLeaving(now time.Time) {
 	switch {
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -21,6 +21,7 @@
 	slotCount   = 64
 	faulty      = 8 * time.Second // how long a run has faults
 	calm        = 9 * time.Second // how long it goes on without
+	mostSteps   = 100_000         // a run takes a few thousand
 	callTimeout = 400 * time.Millisecond
 )
 
@@ -60,6 +61,7 @@
 
 	lossy, storeLossy float64
 	chaos, down       bool
+	ends              bool            // a daemon that ends does not come back
 	cut               map[[2]int]bool // datagrams and messages that way are lost
 	cutOff            map[int]bool    // the table can't be reached from there
 	config            control.ConfigLoaded
@@ -187,6 +189,9 @@
 	for len(w.queue) > 0 && w.queue[0].at <= end && w.violation == "" {
 		e, _ := heap.Pop(&w.queue).(event)
 		w.now = e.at
+		if w.stats.Steps > mostSteps {
+			w.fail("too many steps")
+		}
 		e.do()
 	}
 	w.now = end
--- a/routes/faults.go
+++ b/routes/faults.go
@@ -15,6 +15,4 @@
 	// IgnoreGiven follows the heirs of a closed generation also from a row that
 	// is older than what that generation gave away.
 	IgnoreGiven bool
-	// OlderRows takes in rows that are older than those known.
-	OlderRows bool
 }
--- a/routes/snapshot.go
+++ b/routes/snapshot.go
@@ -150,6 +150,12 @@
 	}
 }
 
+// Same tells whether a service has the same members and slots in another
+// snapshot of the same view.
+func (s *Snapshot) Same(other *Snapshot, service string) bool {
+	return other != nil && s.services[service] == other.services[service]
+}
+
 // Gaps tells whether a slot or hot key of a service leads to rows that are not
 // known here.
 func (s *Snapshot) Gaps(service string) bool {
--- a/routes/view.go
+++ b/routes/view.go
@@ -77,7 +77,7 @@
 // than the one known is dropped.
 func (v *View) Put(row wire.Row) (bool, error) {
 	old, known := v.rows[row.Key]
-	if known && row.Version <= old.row.Version && !v.faults.OlderRows {
+	if known && row.Version <= old.row.Version {
 		return false, nil
 	}
 	if err := v.parse(row); err != nil {
