forward: say not run for a request that came without any wait

An unkeyed request whose deadline was over was answered unknown, though no try had been sent; the test failed before. An answer that arrives at the moment at which the wait ends is no longer left to the choice of select.

--- a/forward/pool.go
+++ b/forward/pool.go
@@ -135,6 +135,9 @@
 		f: f, pool: f.pool(kind, req.Service), kind: kind, req: req,
 		ends: make(chan attempt, maxTries),
 	}
+	if ctx.Err() != nil {
+		return ended(ctx, false)
+	}
 	if !u.start(ctx) {
 		return wire.Refuse(ReasonUnreachable, ownerRetry)
 	}
@@ -147,14 +150,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ended(ctx, u.begun || u.running > 0)
+			return u.over(ctx)
 		case <-hedge:
 			hedge = nil
 			if f.mayRetry() {
 				u.start(ctx)
 			}
 		case end := <-u.ends:
-			u.running--
 			if response := u.next(ctx, end); response != nil {
 				return response
 			}
@@ -183,25 +185,46 @@
 	return true
 }
 
-// next returns the final answer, or nil if another try is on its way.
-func (u *unkeyed) next(ctx context.Context, end attempt) *wire.Response {
-	if end.err == nil && end.response.Outcome == wire.OutcomeAnswered {
-		return end.response
-	}
-	retry, free := true, false
+// note takes in the end of a try. It returns the answer, if it is one.
+func (u *unkeyed) note(end attempt) *wire.Response {
+	u.running--
 	switch {
+	case end.err == nil && end.response.Outcome == wire.OutcomeAnswered:
+		return end.response
 	case notBegun(end.err):
-		free = true
 	case end.err == nil && end.response.Outcome == wire.OutcomeNotRun:
 		u.refused = end.response
 	default:
 		u.begun = true
-		retry = u.kind.Repeatable()
+	}
+	return nil
+}
+
+// over returns the final answer at the end of the wait. What came at the same
+// moment still counts.
+func (u *unkeyed) over(ctx context.Context) *wire.Response {
+	for {
+		select {
+		case end := <-u.ends:
+			if response := u.note(end); response != nil {
+				return response
+			}
+		default:
+			return ended(ctx, u.begun || u.running > 0)
+		}
+	}
+}
+
+// next returns the final answer, or nil if another try is on its way.
+func (u *unkeyed) next(ctx context.Context, end attempt) *wire.Response {
+	if response := u.note(end); response != nil {
+		return response
 	}
 	if u.running > 0 {
 		return nil
 	}
-	if retry && ctx.Err() == nil && (free || u.f.mayRetry()) && u.start(ctx) {
+	retry := !u.begun || u.kind.Repeatable()
+	if retry && ctx.Err() == nil && (notBegun(end.err) || u.f.mayRetry()) && u.start(ctx) {
 		return nil
 	}
 	switch {
--- a/forward/unkeyed_test.go
+++ b/forward/unkeyed_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// A request without any wait was not run, and says so.
+func TestUnkeyedWithoutWait(t *testing.T) {
+	w := newWorld(t, 0)
+	w.member(2, peerAddr)
+	w.publish()
+	s := &script{w: w, steps: []step{answered}}
+	f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call))
+	req := w.request(w.kind("free"), true)
+	req.Wait = 0
+	if got := f.Route(context.Background(), w.kind("free"), req); got.Outcome != wire.OutcomeNotRun || got.Reason != forward.ReasonTimeout {
+		t.Errorf("no wait: %+v", got)
+	}
+}
+
 func TestHedgesWhereThePriceAllows(t *testing.T) {
 	for _, c := range []struct {
 		kind string
