Stay as a witness until nobody counts on it

Cause, found by the proof of planned stops: daemons that left together closed at once, and those who stay, or leave more slowly, lost two witnesses and with them the lease; what ran at their targets was cut off. A daemon whose own work is done now says so in its row (left) and closes when no member that still needs a lease has it as a witness, or after 5 s.

Ruled out: dropping its own witnesses to say that it needs no lease, since its answers would then be marked as without support and renew nobody.

--- a/control/core.go
+++ b/control/core.go
@@ -122,6 +122,8 @@
 	leasedSince time.Time
 	// loadedAt is when the rows were read that the generation joined by.
 	loadedAt time.Time
+	// leftSince is when the own work of a leaving daemon was done.
+	leftSince time.Time
 	// ring is kept while View.Changes is at ringOf.
 	ring   []wire.Generation
 	ringOf uint64
@@ -164,7 +166,7 @@
 
 // LeaseUntil returns the end of the lease; the zero time if there is none.
 func (c *Core) LeaseUntil() time.Time {
-	if !c.joined || c.closing || c.closed {
+	if !c.joined || c.closing || c.closed || c.drained {
 		return time.Time{}
 	}
 	return c.holder.Until()
--- a/control/self.go
+++ b/control/self.go
@@ -22,6 +22,10 @@
 // avoidSilent is how long one that did not answer is not chosen as a witness.
 const avoidSilent = 10 * time.Second
 
+// witnessPatience is how long a daemon whose own work is done stays for those
+// who have it as a witness.
+const witnessPatience = 5 * time.Second
+
 // loaded joins: it writes the own row for the first time.
 func (c *Core) loaded(now time.Time, m Loaded) {
 	c.wall, c.loadedAt = m.Wall, now
@@ -230,16 +234,40 @@
 		next.State = wire.StateLeaving
 		c.writeSelf(next, "leave", c.leaving)
 	case c.moving:
-	case c.owned() == 0:
-		c.closeSelf(now)
+	case c.owned() == 0 || c.drained:
+		c.keepLeft(now)
 	case len(c.heirs(now, c.self)) == 0 && !c.draining:
 		c.draining = true
 		c.emit(Drain{})
-	case c.drained:
+	}
+}
+
+// keepLeft ends a leave whose own work is done, as soon as nobody counts on self
+// as a witness.
+func (c *Core) keepLeft(now time.Time) {
+	switch {
+	case c.self.State != wire.StateLeft:
+		next := c.self
+		next.State = wire.StateLeft
+		c.leftSince = now
+		c.writeSelf(next, "leave", "its own work is done")
+	case !c.countedOn(now):
 		c.closeSelf(now)
 	}
 }
 
+// countedOn tells whether a member that still needs its lease has self as a
+// witness. Each replaces a witness that leaves; if several left together and
+// closed at once, those who stay would lose their leases meanwhile.
+func (c *Core) countedOn(now time.Time) bool {
+	if now.Sub(c.leftSince) > witnessPatience {
+		return false
+	}
+	return slices.ContainsFunc(c.view.Members(), func(m *routes.MemberRow) bool {
+		return c.isOther(m) && m.State != wire.StateLeft && slices.Contains(m.Witnesses, c.self.Generation)
+	})
+}
+
 func (c *Core) owned() int {
 	n := 0
 	for h := range c.view.Snapshot().Holdings(c.self.Service) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -31,22 +31,11 @@
 func NewInstance(s wire.Status) Instance {
 	return Instance{
 		Instance: s.Instance, Generation: s.Generation, Service: s.Service, Domain: s.Domain,
-		State: state(s.State), Config: s.Config, Lease: platform.Duration(s.Lease),
+		State: s.State.String(), Config: s.Config, Lease: platform.Duration(s.Lease),
 		Slots: s.Slots, InFlight: s.InFlight, Queued: s.Queued, Limit: s.Limit,
 	}
 }
 
-func state(s wire.State) string {
-	switch s {
-	case wire.StateActive:
-		return "active"
-	case wire.StateLeaving:
-		return "leaving"
-	default:
-		return "closed"
-	}
-}
-
 // StatusReply tells how far the accepted configuration is in force.
 type StatusReply struct {
 	// Accepted is the number of the newest configuration that is known.
--- a/wire/response.go
+++ b/wire/response.go
@@ -35,7 +35,7 @@
 	switch s {
 	case StateActive:
 		return "active"
-	case StateLeaving:
+	case StateLeaving, StateLeft:
 		return "leaving"
 	default:
 		return "closed"
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -108,6 +108,9 @@
 	StateActive State = iota
 	// StateLeaving means that the daemon gives its slots away.
 	StateLeaving
+	// StateLeft means that the daemon needs its lease no more, and stays only for
+	// those who have it as a witness.
+	StateLeft
 	// StateClosed means that the generation is ended for ever.
 	StateClosed
 )
