--- a/cli/run.go
+++ b/cli/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	stdlog "log"
 	"os"
 	"syscall"
 
@@ -45,6 +47,8 @@
 		return fmt.Errorf("set log level: %w", err)
 	}
 	c.app.log.SetLevel(level)
+	// What net/http logs by itself can hold parts of answers.
+	stdlog.SetOutput(io.Discard)
 	return untilSignal(c.ctx, func(ctx context.Context) error {
 		return c.app.daemon(ctx, *settings, c.app.log)
 	})
--- a/control/core.go
+++ b/control/core.go
@@ -172,6 +172,9 @@
 	return c.holder.Until()
 }
 
+// Alone tells whether there is no witness, so that there can be no lease.
+func (c *Core) Alone() bool { return c.joined && len(c.self.Witnesses) == 0 }
+
 // Self returns the own row as last known.
 func (c *Core) Self() wire.Member { return c.self }
 
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -183,14 +183,14 @@
 	standing := i.d.server.Standing()
 	table := i.d.table.Load()
 	if snapshot == i.snapshot && standing.Table == table && standing.Generation == i.self.Generation &&
-		standing.Closing == i.left {
+		standing.Closing == i.left && standing.Alone == i.core.Alone() {
 		return
 	}
 	gained, lost := i.held.update(snapshot, i.self)
 	i.open(gained)
 	i.d.server.Publish(&owner.Standing{
 		Generation: i.self.Generation, Service: i.self.Service, Instance: i.self.Instance,
-		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left,
+		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left, Alone: i.core.Alone(),
 	})
 	i.drop(lost)
 	slots, hot := i.held.grants(snapshot, i.self.Service)
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -159,6 +160,7 @@
 		}
 		present = now
 		d.server.Expire()
+		d.hangUp()
 	}
 }
 
@@ -177,3 +179,16 @@
 	}
 	d.gate.Report(health)
 }
+
+// hangUp ends the connections to generations that are closed.
+func (d *Daemon) hangUp() {
+	snapshot := d.server.Standing().Snapshot
+	if snapshot == nil {
+		return
+	}
+	open := make(map[netip.AddrPort]bool)
+	for _, o := range snapshot.All() {
+		open[o.Peer] = true
+	}
+	d.peers.Retain(func(addr netip.AddrPort) bool { return open[addr] })
+}
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -52,6 +52,9 @@
 // waitForOwner waits for a change of the routes, and returns the refusal if that
 // has taken too long.
 func (k *keyed) waitForOwner(ctx context.Context, snapshot *routes.Snapshot) *wire.Response {
+	if k.f.own.Standing().Alone {
+		return refuse(owner.ReasonAlone, k.asked || k.lost)
+	}
 	now := time.Now()
 	if k.ownerless.IsZero() {
 		k.ownerless = now
--- a/owner/server.go
+++ b/owner/server.go
@@ -22,6 +22,9 @@
 	ReasonKind = "kind"
 	// ReasonTimeout says that the wait of the kind ran out.
 	ReasonTimeout = "timeout"
+	// ReasonAlone says that the owner has no other daemon as a witness, so that it
+	// may not serve keys.
+	ReasonAlone = "alone"
 	// ReasonMoving says that the key changed hands for as long as the caller
 	// could wait.
 	ReasonMoving = "moving"
@@ -155,6 +158,9 @@
 			return wire.Misrouted()
 		}
 		if !s.lease.valid() {
+			if standing.Alone {
+				return unheard(req, kind, ReasonAlone)
+			}
 			return wire.Misrouted()
 		}
 		unit := unitOf(req, route)
--- a/peer/client.go
+++ b/peer/client.go
@@ -118,12 +118,13 @@
 	return ClientStats{Late: c.late.Load(), Open: open}
 }
 
-// Retain closes the connections to all addresses for which keep is false.
+// Retain closes the connections to all addresses for which keep is false and on
+// which no call waits.
 func (c *Client) Retain(keep func(netip.AddrPort) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, l := range c.links {
-		if !keep(addr) {
+		if !keep(addr) && l.idle() {
 			l.close()
 			delete(c.links, addr)
 		}
@@ -159,6 +160,12 @@
 
 func (l *link) live() bool { return l.conn.Load() != nil }
 
+// idle tells whether no call waits on the connection.
+func (l *link) idle() bool {
+	conn := l.conn.Load()
+	return conn == nil || conn.idle()
+}
+
 func (l *link) close() {
 	l.mu.Lock()
 	l.closed = true
@@ -281,6 +288,12 @@
 	}
 }
 
+func (c *clientConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiters) == 0
+}
+
 func (c *clientConn) forget(id uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
