Test that a hand-over ends only for slots as they were collected

A hot key that rejoins its slot brings records of its own; a hand-over of that slot whose records were collected before would lose them.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,9 +58,9 @@
 
 // joined returns the core of member 0 of a system that is known to it, with a
 // lease.
-func joined(members int) (*control.Core, time.Time) {
+func joined(members int, options ...control.Option) (*control.Core, time.Time) {
 	now := time.Unix(1000, 0)
-	core := control.NewCore(memberOf(0, members), control.WithNames(func() string { return "x" }))
+	core := control.NewCore(memberOf(0, members), append(options, control.WithNames(func() string { return "x" }))...)
 	rows := fleet(members)
 	for _, e := range core.Step(now, control.Loaded{Rows: rows[1:]}) {
 		if w, ok := e.(control.Write); ok {
@@ -71,10 +72,12 @@
 	return core, now
 }
 
-// drive lets one tick pass, answering heartbeats, so that the lease holds.
-func drive(core *control.Core, now time.Time) {
+// drive lets one tick pass, answering heartbeats, so that the lease holds. It
+// returns what the tick asked for.
+func drive(core *control.Core, now time.Time) []control.Effect {
 	var beats []wire.Heartbeat
-	for _, e := range core.Step(now, control.Tick{StoreAnswered: now, Wall: now}) {
+	effects := slices.Clone(core.Step(now, control.Tick{StoreAnswered: now, Wall: now}))
+	for _, e := range effects {
 		if hb, ok := e.(control.SendHeartbeat); ok {
 			beats = append(beats, hb.Heartbeat)
 		}
@@ -83,6 +86,7 @@
 		hb.From, hb.To, hb.Answer = hb.To, hb.From, true
 		core.Step(now, control.Heartbeat{Heartbeat: hb})
 	}
+	return effects
 }
 
 // BenchmarkSecond is the cost of one second of control: 20 ticks and the
--- /dev/null
+++ b/control/move_test.go
@@ -0,0 +1,68 @@
+package control_test
+
+import (
+	"slices"
+	"testing"
+
+	"fulmarrun/control"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// TestMoveStillOwned lets a slot change between the collection of its records
+// and the end of the hand-over: a hot key has rejoined it, with records of its
+// own.
+func TestMoveStillOwned(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		faults  control.Faults
+		changed bool
+		taker   wire.State
+		writes  bool
+	}{
+		{"nothing changed", control.Faults{}, false, wire.StateActive, true},
+		{"a key rejoined the slot", control.Faults{}, true, wire.StateActive, false},
+		{"the same, not looked at", control.Faults{AnyEpoch: true}, true, wire.StateActive, true},
+		{"the taker is gone", control.Faults{}, false, wire.StateClosed, false},
+	} {
+		core, now := joined(100, control.WithFaults(tc.faults))
+		var move control.Move
+		core.Step(now, control.ConfigLoaded{
+			Number: 2, Out: []string{"0"}, Services: []control.ServiceShape{{Name: serviceOf(0), Slots: 8192}},
+		})
+		for range 40 {
+			now = now.Add(control.TickInterval)
+			for _, e := range drive(core, now) {
+				if m, ok := e.(control.Move); ok {
+					move = m
+				}
+			}
+		}
+		if len(move.Moves) == 0 {
+			t.Fatalf("%s: no move", tc.name)
+		}
+		for _, row := range fleet(100) {
+			var slots wire.Slots
+			if tc.changed && row.Key == routes.SlotsKey(serviceOf(0), move.First) && wire.Decode(row.Value, &slots) == nil {
+				slots.Slots[0].Epoch, slots.Slots[0].Transfer = 2, 7
+				slots.Number++
+				row.Value, _ = wire.Encode(&slots)
+				row.Version = 1 << 41
+				core.Step(now, control.RowsArrived{From: 2, Rows: []wire.Row{row}})
+			}
+		}
+		taker := memberOf(int(move.Moves[0].To)-1, 100)
+		taker.State = tc.taker
+		value, _ := wire.Encode(&taker)
+		core.Step(now, control.RowsArrived{From: 2, Rows: []wire.Row{
+			{Key: routes.MemberKey(taker.Generation), Version: 1 << 42, Value: value},
+		}})
+		writes := slices.ContainsFunc(core.Step(now, control.MoveReady{Move: move}), func(e control.Effect) bool {
+			w, ok := e.(control.Write)
+			return ok && w.Purpose == control.PurposeMove
+		})
+		if writes != tc.writes {
+			t.Errorf("%s: writes %t", tc.name, writes)
+		}
+	}
+}
