--- a/e2e/measure_test.go
+++ b/e2e/measure_test.go
@@ -58,11 +58,11 @@
 // longer, from two seconds after the start.
 func BenchmarkStraggler(b *testing.B) {
 	for _, p := range policies() {
-		b.Run("unkeyed/"+strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) { straggle(b, p, "despacho", plan) })
+		b.Run("unkeyed/"+strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) { straggle(b, p, "despacho", 1, plan) })
 	}
 	for _, p := range []policy{policies()[0], policies()[5]} {
 		b.Run("keyed/"+strings.ReplaceAll(p.name, " ", "-"), func(b *testing.B) {
-			straggle(b, p, "agenda", func(random *rand.Rand) shot {
+			straggle(b, p, "agenda", 4, func(random *rand.Rand) shot {
 				visit := fmt.Sprint(random.IntN(500))
 				return shot{http.MethodGet, "/agenda/visits/" + visit, visit}
 			})
@@ -70,7 +70,8 @@
 	}
 }
 
-func straggle(b *testing.B, p policy, service string, next func(*rand.Rand) shot) {
+// straggle reports one line for each 10 s in which the target straggles.
+func straggle(b *testing.B, p policy, service string, windows int, next func(*rand.Rand) shot) {
 	f := assemble(b, calorTico, calorTicoDomains(), calorTicoGangs(), p.option())
 	for b.Loop() {
 		tr := f.traffic(5*time.Millisecond, measureSeed, next)
@@ -82,8 +83,11 @@
 				n.stub.SetFault(targetstub.Fault{Delay: 200 * time.Millisecond})
 			}
 		}
-		time.Sleep(10 * time.Second)
-		b.Logf("%s, one straggles: %s", p.name, tr.line())
+		for range windows {
+			time.Sleep(10 * time.Second)
+			b.Logf("%s, one straggles: %s", p.name, tr.line())
+			tr.reset()
+		}
 		tr.end()
 		b.Logf("%s, runs: %v", p.name, f.total(service))
 	}
@@ -128,21 +132,29 @@
 }
 
 // BenchmarkChange measures which slots move and what callers see, while
-// instances join, leave and are lost, and a domain is taken out and returned.
+// instances join, leave and are lost, and a domain is taken out and returned. It
+// does so for reads, and for deposits under IDs of the callers' own.
 func BenchmarkChange(b *testing.B) {
-	const slots = 2048
-	keys := keysOf(slots)
-	g := gang{"atelier-front", 6, work}
+	b.Run("reads", func(b *testing.B) {
+		changes(b, gang{"atelier-front", 6, work}, 2048, http.MethodGet, "/atelier-front/instruments/%s")
+	})
+	b.Run("deposits", func(b *testing.B) {
+		changes(b, gang{"casierie", 4, work}, 512, http.MethodPost, "/casierie/collectors/%s/deposits")
+	})
+}
+
+func changes(b *testing.B, g gang, slots uint32, method, path string) {
 	f := assemble(b, clepsidra, []string{"cluj-a", "cluj-b", "cluj-c"},
-		[]gang{g, {"casierie", 4, work}, {"banc-lucru", 3, work}})
+		[]gang{{"atelier-front", 6, work}, {"casierie", 4, work}, {"banc-lucru", 3, work}})
+	keys := keysOf(slots)
 	out := strings.Replace(f.text, `"out": []`, `"out": ["cluj-b"]`, 1)
 	in := f.text
 	// Each of 40 keys is asked for every 100 ms.
 	turn := 0
 	next := func(*rand.Rand) shot {
 		turn++
-		instrument := fmt.Sprint(turn % 40)
-		return shot{http.MethodGet, "/atelier-front/instruments/" + instrument, instrument}
+		key := fmt.Sprint(turn % 40)
+		return shot{method, fmt.Sprintf(path, key), key}
 	}
 	var joined *node
 	for b.Loop() {
@@ -150,10 +162,10 @@
 			name string
 			do   func()
 		}{
-			{"join of a 7th", func() { joined = f.join(g) }},
-			{"leave of the 7th", func() { f.leave(joined) }},
-			{"join of a 7th again", func() { joined = f.join(g) }},
-			{"loss of the 7th", func() { f.lose(joined) }},
+			{"join", func() { joined = f.join(g) }},
+			{"leave", func() { f.leave(joined) }},
+			{"join again", func() { joined = f.join(g) }},
+			{"loss", func() { f.lose(joined) }},
 			{"cluj-b is taken out", func() { f.apply(out) }},
 			{"cluj-b returns", func() { f.apply(in) }},
 		} {
@@ -169,8 +181,9 @@
 	for _, h := range before {
 		owned[h.instance]++
 	}
+	// The callers know the instances that were there from the beginning.
 	entries := *f
-	entries.nodes = f.nodes[:6]
+	entries.nodes = f.nodes[:13]
 	tr := entries.traffic(2500*time.Microsecond, measureSeed, next)
 	time.Sleep(time.Second)
 	tr.reset()
