Fetch a new file's sections from the peer that told of it; smaller buffers

The peer is asked up to 5 times, since it may be loading the section itself. - A connection held 32 KB buffers at each end.

--- a/control/core.go
+++ b/control/core.go
@@ -272,7 +272,7 @@
 		}
 		if isNew, err := c.view.Put(row); err == nil && isNew {
 			news = append(news, row)
-			c.noticeRow(now, row)
+			c.noticeRow(now, from, row)
 		}
 	}
 	if len(news) == 0 {
@@ -284,7 +284,7 @@
 }
 
 // noticeRow keeps what is derived from rows in step with them.
-func (c *Core) noticeRow(now time.Time, row wire.Row) {
+func (c *Core) noticeRow(now time.Time, from wire.Generation, row wire.Row) {
 	if row.Deleted {
 		if row.Key == routes.MemberKey(c.self.Generation) {
 			c.end("its row is deleted")
@@ -296,7 +296,7 @@
 		return
 	}
 	if row.Key == routes.ConfigKey {
-		c.loadConfig(wire.Generation(0))
+		c.loadConfig(from)
 		return
 	}
 	var m wire.Member
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -16,8 +16,15 @@
 	"fulmarrun/wire"
 )
 
-// fetchTimeout bounds the fetch of one section from a peer.
-const fetchTimeout = time.Second
+const (
+	// fetchTimeout bounds the fetch of one section from a peer.
+	fetchTimeout = time.Second
+	// fetchTries is how often a peer is asked that may be loading the section
+	// itself, before the platform is.
+	fetchTries = 5
+	// fetchPause is the time between two of these.
+	fetchPause = 100 * time.Millisecond
+)
 
 // configs holds the sections of the configuration in force and fetches those of
 // the next.
@@ -73,17 +80,36 @@
 	return text, nil
 }
 
+// fetch asks the peer that the news came from, so that the platform is not read
+// once for each daemon.
 func (c *configs) fetch(ctx context.Context, digest string, from netip.AddrPort) []byte {
 	if !from.IsValid() {
 		return nil
 	}
+	for range fetchTries {
+		data, err := c.fetchOnce(ctx, digest, from)
+		if err != nil || data != nil {
+			return data
+		}
+		if platform.Sleep(ctx, fetchPause) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// fetchOnce returns nil if the peer does not hold the section.
+func (c *configs) fetchOnce(ctx context.Context, digest string, from netip.AddrPort) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	object, err := peer.Call[wire.Object](ctx, c.peers, from, peer.KindFetch, &wire.Fetch{Digest: digest})
-	if err != nil || operator.Digest(object.Data) != digest {
-		return nil
+	if err != nil {
+		return nil, fmt.Errorf("fetch section: %w", err)
+	}
+	if operator.Digest(object.Data) != digest {
+		return nil, nil
 	}
-	return object.Data
+	return object.Data, nil
 }
 
 func (c *configs) keep(digest string, data []byte) {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -47,7 +47,7 @@
 	// DefaultMaxFrame is the longest frame, in bytes. It has room for the longest
 	// answer of a target.
 	DefaultMaxFrame = 16 << 20
-	bufferBytes     = 32 << 10
+	bufferBytes     = 4 << 10
 	// maxPooledBytes bounds the buffers that are kept for reuse.
 	maxPooledBytes = 256 << 10
 )
