Play the faults that were found as scripts

An old process that reads its successor's row while its lease lives, a restart of all daemons, one that hears nothing with and without being heard, and one that dies as soon as its move is written.

--- a/control/process_test.go
+++ b/control/process_test.go
@@ -411,6 +411,9 @@
 		w.stats.Takeovers++
 	case control.PurposeMove:
 		w.stats.Moves += len(e.Move.Moves)
+		if w.onMove != nil {
+			w.onMove()
+		}
 	}
 }
 
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -62,6 +62,7 @@
 	lossy, storeLossy float64
 	chaos, down       bool
 	ends              bool            // a daemon that ends does not come back
+	onMove            func()          // is called when a move is written
 	cut               map[[2]int]bool // datagrams and messages that way are lost
 	cutOff            map[int]bool    // the table can't be reached from there
 	config            control.ConfigLoaded
