--- a/owner/promise_leave_test.go
+++ b/owner/promise_leave_test.go
@@ -156,7 +156,9 @@
 	if n := m.running.Load(); n > 0 {
 		m.f.fail("%s has left with %d requests running", m.self.Instance, n)
 	}
-	if took := time.Since(m.asked); took > leaveDrain {
+	var took time.Duration
+	m.note(func() { took = time.Since(m.asked) })
+	if took > leaveDrain {
 		m.f.fail("%s took %v to leave", m.self.Instance, took)
 	}
 }
@@ -307,9 +309,7 @@
 
 // leave starts a planned leave, as the operator or the target asks for it.
 func (m *member) leave(target bool) {
-	m.f.mu.Lock()
-	m.asked, m.paused = time.Now(), target
-	m.f.mu.Unlock()
+	m.note(func() { m.asked, m.paused = time.Now(), target })
 	if target && !m.f.mistakes.noPause {
 		m.gate.Pause()
 	}
@@ -372,11 +372,12 @@
 
 // work is the target's part. It is cut off if the daemon goes.
 func (m *member) work(r *leaveRequest) wire.Outcome {
-	m.f.mu.Lock()
-	r.began++
-	m.last = time.Now()
-	late := m.paused
-	m.f.mu.Unlock()
+	late := false
+	m.note(func() {
+		r.began++
+		m.last = time.Now()
+		late = m.paused
+	})
 	if late {
 		m.f.fail("a request began at the target of %s, which leaves", m.self.Instance)
 	}
@@ -393,17 +394,24 @@
 		}
 		switch {
 		case m.lost.Load() || m.f.ctx.Err() != nil:
-			r.broken = true
+			m.note(func() { r.broken = true })
 			return wire.OutcomeUnknown
 		case !m.owns(r.slot):
 			m.f.fail("a request was cut off in slot %d at %s", r.slot, m.self.Instance)
 			return wire.OutcomeUnknown
 		}
 	}
-	r.whole++
+	m.note(func() { r.whole++ })
 	return wire.OutcomeAnswered
 }
 
+// note changes what the oracle reads.
+func (m *member) note(change func()) {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	change()
+}
+
 // route brings a request to the owner of its slot, whoever that is by the time.
 func (f *fleet) route(r *leaveRequest, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(f.ctx, wait)
@@ -417,6 +425,8 @@
 			_ = platform.Sleep(ctx, 10*hop)
 		}
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	r.answer, r.ended = answer, true
 }
 
