--- a/control/promise_out_test.go
+++ b/control/promise_out_test.go
@@ -198,7 +198,7 @@
 // balanced tells whether every daemon serves its share of all slots.
 func (r *outRun) balanced() bool {
 	return r.settled() && !slices.ContainsFunc(r.procs, func(p *process) bool {
-		return len(p.serving()) < slotCount/promiseDaemons || len(p.serving()) > slotCount/promiseDaemons+1
+		return p == nil || len(p.serving()) < slotCount/promiseDaemons || len(p.serving()) > slotCount/promiseDaemons+1
 	})
 }
 
