operator: show that an accepted file can be in force nowhere (red)

Two real daemons; the platform fails for one reading right after a file was accepted. refresh in daemon/operators.go reads the row once and gives up, so that the file is not in force at any daemon 9 s later.

--- /dev/null
+++ b/operator/promise_spread_test.go
@@ -0,0 +1,81 @@
+package operator_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fulmarrun/config"
+	"fulmarrun/daemon"
+	"fulmarrun/operator"
+	"fulmarrun/platform"
+	"fulmarrun/platformstub"
+)
+
+const spreadFile = `{"services":[{"name":"agenda","slots":64,"kinds":[
+	{"name":"visit","method":"GET","path":"/visits/{visit}","key":{"path":"visit"},"wait":"1m","repeat":1,"class":"urgent"}]}]}`
+
+// TestAcceptedFileSpreads has the platform fail for one reading, right after a
+// file was accepted. The file must get in force all the same.
+func TestAcceptedFileSpreads(t *testing.T) {
+	stub := platformstub.New()
+	var failing atomic.Bool
+	store := *stub.Store()
+	get, transact := store.Get, store.Transact
+	store.Get = func(ctx context.Context, key string) (platform.Row, error) {
+		if key == operator.CurrentKey && failing.CompareAndSwap(true, false) {
+			return platform.Row{}, platform.ErrUnavailable
+		}
+		return get(ctx, key)
+	}
+	store.Transact = func(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
+		result, err := transact(ctx, tx)
+		if tx.Writes[0].Key == operator.CurrentKey && result.Applied {
+			failing.Store(true)
+		}
+		return result, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	clients := make([]*operator.Client, 0, 2)
+	for i := range 2 {
+		d, err := daemon.New(config.Settings{
+			Instance: fmt.Sprint("agenda-", i), Service: "agenda", Region: "valle-central", Domain: fmt.Sprint("domain-", i),
+			Peer: loopback, Caller: loopback, Target: loopback, Operator: loopback, Drain: time.Second,
+			Body: config.DefaultBody, Header: config.DefaultHeader,
+		}, &store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = d.Run(ctx)
+		}()
+		defer func() {
+			d.Abort()
+			<-done
+		}()
+		clients = append(clients, operator.NewClient(d.Settings().Operator))
+	}
+	time.Sleep(2 * time.Second)
+	if _, err := clients[0].Apply(ctx, operator.ApplyRequest{Text: []byte(spreadFile), Author: "ana", Change: "change-0001"}); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range clients {
+		end := time.Now().Add(9 * time.Second)
+		for {
+			if shown, err := c.Show(ctx); err == nil && shown.Number == 1 {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("accepted, but not in force at daemon %d", i)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
