Read the configuration again until it is read, and now and then

The read is repeated now. If that daemon is lost right after, one daemon of all (the lowest generation) reads the row every 2 s.

--- a/control/core.go
+++ b/control/core.go
@@ -20,6 +20,9 @@
 	upkeepInterval  = 250 * time.Millisecond
 	compareInterval = 2 * time.Second
 	probeInterval   = 200 * time.Millisecond
+	// configInterval is how often the row of the configuration is read by one
+	// daemon of all.
+	configInterval = 2 * time.Second
 	// storeFresh is how long ago the platform may have answered for a step that
 	// needs it to be started.
 	storeFresh = time.Second
@@ -110,6 +113,7 @@
 	nextUpkeep    time.Time
 	nextCompare   time.Time
 	nextProbe     time.Time
+	nextConfig    time.Time
 	nextFill      time.Time
 	// quietSince is when others last changed the members or slots of the own
 	// service, or the configuration did.
@@ -248,6 +252,7 @@
 	c.fillGaps(now)
 	c.plan(now)
 	c.compare(now)
+	c.watchConfig(now)
 }
 
 // storeReady tells whether the platform has answered a moment ago, and asks for
--- a/control/effect.go
+++ b/control/effect.go
@@ -91,7 +91,8 @@
 	Applied bool
 }
 
-// Probe asks the platform for any answer.
+// Probe reads the row of the configuration from the platform and brings it as
+// RowsArrived; any answer is a sign of life.
 type Probe struct{}
 
 // Reload reads all rows from the platform again and brings them as RowsArrived.
--- a/control/spread.go
+++ b/control/spread.go
@@ -78,6 +78,24 @@
 	})
 }
 
+// watchConfig has one daemon of all read the row of the configuration now and
+// then: who accepted a file may be lost before it told anyone.
+func (c *Core) watchConfig(now time.Time) {
+	if now.Before(c.nextConfig) {
+		return
+	}
+	c.nextConfig = now.Add(configInterval)
+	for _, m := range c.view.Members() {
+		if m.State == wire.StateClosed {
+			continue
+		}
+		if m.Generation == c.self.Generation {
+			c.emit(Probe{})
+		}
+		return
+	}
+}
+
 // summary answers with what is known in the buckets that differ, so that the
 // sender returns what is newer.
 func (c *Core) summary(m SummaryArrived) {
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -10,6 +10,7 @@
 	"fulmarrun/control"
 	"fulmarrun/peer"
 	"fulmarrun/platform"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -147,11 +148,15 @@
 	return zero
 }
 
-// probe asks the platform for any answer; the store notes when it came.
+// probe asks the platform for the row of the configuration; the store notes when
+// the answer came.
 func (i *incarnation) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, _ = i.d.store.Get(ctx, "config/current")
+	row, err := i.d.store.Get(ctx, routes.ConfigKey)
+	if err == nil {
+		i.post(ctx, control.RowsArrived{Rows: []wire.Row{{Key: row.Key, Version: row.Version, Value: row.Value}}})
+	}
 	i.post(ctx, control.Tick{StoreAnswered: i.d.store.Answered(), Wall: time.Now()})
 }
 
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -15,6 +15,7 @@
 	"fulmarrun/control"
 	"fulmarrun/operator"
 	"fulmarrun/peer"
+	"fulmarrun/platform"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
@@ -84,7 +85,11 @@
 // refresh reads the configuration row, so that an accepted file spreads from
 // here.
 func (i *incarnation) refresh(ctx context.Context) {
-	row, err := i.d.store.Get(ctx, routes.ConfigKey)
+	var row platform.Row
+	err := platform.Repeat(ctx, func() (err error) {
+		row, err = i.d.store.Get(ctx, routes.ConfigKey)
+		return err
+	})
 	if err != nil {
 		return
 	}
