Ration moves that only even out the shares

Cause: after the return of a domain of 160 daemons, every owner gives slots for balance as fast as it can; docs/CAPACITY.md reckons 26,000 writes in a queue that take-overs share. All daemons together now make about 100 such transactions a second: each waits a hundredth of a second for each member between two of its own. Daemons that must give their slots away (leave, domain out) are not held up, as that is promised within seconds.

No figure at that size: reckoned only.

--- a/control/core.go
+++ b/control/core.go
@@ -114,6 +114,7 @@
 	nextCompare   time.Time
 	nextProbe     time.Time
 	nextConfig    time.Time
+	nextBalance   time.Time
 	nextFill      time.Time
 	// quietSince is when others last changed the members or slots of the own
 	// service, or the configuration did.
--- a/control/move.go
+++ b/control/move.go
@@ -20,20 +20,36 @@
 	mustGo := !c.eligible(&routes.Owner{
 		State: c.self.State, Service: c.self.Service, Domain: c.self.Domain, Instance: c.self.Instance,
 	})
-	if !mustGo && now.Sub(c.quietSince) < settleTime {
+	if !mustGo && (now.Sub(c.quietSince) < settleTime || now.Before(c.nextBalance)) {
 		return
 	}
 	moves = c.ready(now, moves)
 	if len(moves) == 0 || !c.storeReady(now) {
 		return
 	}
-	why := "balance"
+	why := reasonBalance
 	if mustGo {
 		why = "the owner leaves or its failure domain is out"
 	}
 	c.emitMove(moves, why)
 }
 
+const (
+	// reasonBalance is the reason for moves that only even out the shares.
+	reasonBalance = "balance"
+	// balanceRate bounds such moves, as transactions a second of all daemons
+	// together, so that they leave room at the platform for take-overs.
+	balanceRate = 100
+)
+
+// ration leaves time between two moves for balance, the more the more daemons
+// there are. Moves of those who must give their slots away are not held up.
+func (c *Core) ration(now time.Time, m Move) {
+	if m.Reason == reasonBalance {
+		c.nextBalance = now.Add(time.Second * time.Duration(len(c.view.Members())) / balanceRate)
+	}
+}
+
 func (c *Core) emitMove(moves []handover.Move, why string) {
 	snapshot := c.view.Snapshot()
 	count := snapshot.Count(c.self.Service)
--- a/control/self.go
+++ b/control/self.go
@@ -86,6 +86,7 @@
 	case PurposeMove:
 		c.writing, c.moving, c.moved = false, false, m.Applied
 		delete(c.slow, m.Write.Move.First)
+		c.ration(now, m.Write.Move)
 	}
 	c.put(now, 0, rows)
 	if !m.Applied && c.version > 0 && missing(m.Rows, routes.MemberKey(c.self.Generation)) {
