control: put each part of the state beside what it is for

The Core had some forty fields in one list. They are grouped by duty now, each group in the file of its duty, with the functions that had strayed into core.go. The audit trail's own names stand in place of literals; the entry of a planned leave's end is called 'leave' as its start is ('left' before, which the package audit did not know).

--- a/control/beat.go
+++ b/control/beat.go
@@ -3,9 +3,26 @@
 import (
 	"time"
 
+	"fulmarrun/lease"
 	"fulmarrun/wire"
 )
 
+// leaseState is what a Core knows of its lease and of those that it witnesses.
+type leaseState struct {
+	holder  *lease.Holder
+	witness *lease.Witness
+	// leased tells whether the lease was held at the last tick, and leasedSince
+	// since when that has been so.
+	leased      bool
+	leasedSince time.Time
+	// silent are those who did not answer as witnesses, and since when.
+	silent map[wire.Generation]time.Time
+}
+
+func newLeaseState() leaseState {
+	return leaseState{silent: make(map[wire.Generation]time.Time)}
+}
+
 func (c *Core) beat(now time.Time) {
 	if c.mute(now) {
 		return
--- a/control/core.go
+++ b/control/core.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"fulmarrun/handover"
 	"fulmarrun/lease"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
@@ -65,7 +64,8 @@
 	return func(c *Core) { c.retain = retain }
 }
 
-// Core is the control state of one generation.
+// Core is the control state of one generation. Each part of it stands in the file
+// of what it is for.
 type Core struct {
 	leaseOptions []lease.Option
 	retain       time.Duration
@@ -73,73 +73,23 @@
 	random       *rand.Rand
 	name         func() string
 
-	// self is the own row as last known to be in the table.
-	self    wire.Member
-	version uint64
-	joined  bool
-	closed  bool
-	leaving string
-	// writing is true while a write of the own row is under way.
-	writing bool
-	// closing is true from the start of the write that closes the own row.
-	closing  bool
-	drained  bool
-	draining bool
-
-	view    *routes.View
-	holder  *lease.Holder
-	witness *lease.Witness
-
-	takeovers map[wire.Generation]*takeover
-	// predecessor are the open generations with the own address, and since when
-	// they have been known.
-	predecessor map[wire.Generation]time.Time
-	orphans     map[wire.Generation]time.Time
-	// slow are the rows of slots of which a move was put off.
-	slow map[uint32]slowRow
-	// silent are those who did not answer as witnesses, and since when.
-	silent map[wire.Generation]time.Time
-	// closedSince is when the closing of a generation was learned.
-	closedSince map[wire.Generation]time.Time
-
-	config   ConfigLoaded
-	loading  uint64
-	planning bool
-	moving   bool
-	hot      hotChange
+	view *routes.View
+	// config is the configuration in force, and loading the number of the latest
+	// that is being fetched.
+	config  ConfigLoaded
+	loading uint64
 
 	storeAnswered time.Time
 	wall          time.Time
 	nextUpkeep    time.Time
-	nextCompare   time.Time
 	nextProbe     time.Time
-	nextConfig    time.Time
-	nextBalance   time.Time
-	nextFill      time.Time
-	// quietSince is when others last changed the members or slots of the own
-	// service, or the configuration did.
-	quietSince time.Time
-	// moved is true from an own move until the plan has been made anew.
-	moved bool
-	// leased tells whether the lease was held at the last tick, and leasedSince
-	// since when that has been so.
-	leased      bool
-	leasedSince time.Time
-	// loadedAt is when the rows were read that the generation joined by.
-	loadedAt time.Time
-	// leftSince is when the own work of a leaving daemon was done.
-	leftSince time.Time
-	// ring is kept while View.Changes is at ringOf.
-	ring   []wire.Generation
-	ringOf uint64
-	// placedOf is View.Changes when the places of the witnesses were last compared
-	// with those of all members.
-	placedOf uint64
-	// moves is the own plan for planOf at the configuration planNumber.
-	moves       []handover.Move
-	planOf      *routes.Snapshot
-	planNumber  uint64
-	compareTurn int
+
+	ownRow
+	leaseState
+	takeoverState
+	spreadState
+	planState
+	moveState
 
 	effects []Effect
 }
@@ -147,14 +97,11 @@
 // NewCore returns the state of a generation that has not joined yet.
 func NewCore(self wire.Member, opts ...Option) *Core {
 	c := &Core{
-		self:        self,
-		retain:      retainClosed,
-		takeovers:   make(map[wire.Generation]*takeover),
-		predecessor: make(map[wire.Generation]time.Time),
-		orphans:     make(map[wire.Generation]time.Time),
-		slow:        make(map[uint32]slowRow),
-		silent:      make(map[wire.Generation]time.Time),
-		closedSince: make(map[wire.Generation]time.Time),
+		retain:        retainClosed,
+		ownRow:        ownRow{self: self},
+		leaseState:    newLeaseState(),
+		takeoverState: newTakeoverState(),
+		moveState:     newMoveState(),
 	}
 	WithSeed(uint64(self.Generation))(c)
 	for _, opt := range opts {
@@ -394,35 +341,3 @@
 	}
 	return ServiceShape{}, false
 }
-
-// ownPlan returns the moves that self should make.
-func (c *Core) ownPlan(now time.Time) []handover.Move {
-	snapshot := c.view.Snapshot()
-	if !snapshot.Same(c.planOf, c.self.Service) || c.config.Number != c.planNumber {
-		if !c.moved {
-			c.quietSince = now
-		}
-		c.moved = false
-		c.moves = handover.Plan(snapshot, c.self.Service, c.eligible, c.self.Generation)
-		c.planOf, c.planNumber = snapshot, c.config.Number
-	}
-	return c.moves
-}
-
-// fillGaps reads the rows again if some are missing here: whoever knew them may
-// be lost. Each daemon waits for a time of its own first, so that one reads and
-// the others get the rows from it.
-func (c *Core) fillGaps(now time.Time) {
-	if !c.view.Snapshot().Gaps(c.self.Service) {
-		c.nextFill = time.Time{}
-		return
-	}
-	if c.nextFill.IsZero() {
-		c.nextFill = now.Add(time.Duration(c.random.Int64N(int64(gapWait))))
-	}
-	if now.Before(c.nextFill) || !c.storeReady(now) {
-		return
-	}
-	c.nextFill = now.Add(gapRest)
-	c.emit(Reload{})
-}
--- a/control/move.go
+++ b/control/move.go
@@ -11,6 +11,29 @@
 	"fulmarrun/wire"
 )
 
+// moveState is what a Core knows of the slots that it is to give away.
+type moveState struct {
+	// moving is true from the start of a hand-over to its end.
+	moving bool
+	// slow are the rows of slots of which a move was put off.
+	slow map[uint32]slowRow
+	// moves is the own plan for planOf at the configuration planNumber.
+	moves      []handover.Move
+	planOf     *routes.Snapshot
+	planNumber uint64
+	// moved is true from an own move until the plan has been made anew.
+	moved bool
+	// quietSince is when others last changed the members or slots of the own
+	// service, or the configuration did.
+	quietSince  time.Time
+	nextBalance time.Time
+	hot         hotChange
+}
+
+func newMoveState() moveState {
+	return moveState{slow: make(map[uint32]slowRow)}
+}
+
 // startMove begins the next hand-over of own slots, one row at a time.
 func (c *Core) startMove(now time.Time) {
 	moves := c.ownPlan(now)
@@ -34,6 +57,20 @@
 	c.emitMove(moves, why)
 }
 
+// ownPlan returns the moves that self should make.
+func (c *Core) ownPlan(now time.Time) []handover.Move {
+	snapshot := c.view.Snapshot()
+	if !snapshot.Same(c.planOf, c.self.Service) || c.config.Number != c.planNumber {
+		if !c.moved {
+			c.quietSince = now
+		}
+		c.moved = false
+		c.moves = handover.Plan(snapshot, c.self.Service, c.eligible, c.self.Generation)
+		c.planOf, c.planNumber = snapshot, c.config.Number
+	}
+	return c.moves
+}
+
 const (
 	// reasonBalance is the reason for moves that only even out the shares.
 	reasonBalance = "balance"
@@ -237,7 +274,7 @@
 			ID: change, Conditions: conditions, Writes: writes,
 		},
 		Entry: audit.Entry{
-			Who: c.self.Instance, What: "move", Subject: slotsKey,
+			Who: c.self.Instance, What: audit.Move, Subject: slotsKey,
 			From: names([]wire.Generation{c.self.Generation}), To: takersOf(move), Why: move.Reason, Change: change,
 		},
 	})
--- a/control/plan.go
+++ b/control/plan.go
@@ -13,6 +13,12 @@
 // rowsPerPlan bounds the rows of slots that one transaction assigns.
 const rowsPerPlan = 16
 
+// planState is what a Core knows of its work as a planner.
+type planState struct {
+	// planning is true while a write of assignments is under way.
+	planning bool
+}
+
 // isPlanner tells whether self plans for a service: the member that ranks first
 // does. Two that both think so waste work but break nothing.
 func (c *Core) isPlanner(service string) bool {
@@ -63,7 +69,7 @@
 	c.emit(Write{
 		Purpose: PurposePlan, Transaction: tx,
 		Entry: audit.Entry{
-			Who: c.self.Instance, What: "assign", Subject: c.self.Service,
+			Who: c.self.Instance, What: audit.Assign, Subject: c.self.Service,
 			To: tx.Writes[0].Key, Why: "slots without an open owner in their row", Change: change,
 		},
 	})
@@ -178,7 +184,7 @@
 				Writes:     []platform.Write{{Key: key, Delete: true}},
 			},
 			Entry: audit.Entry{
-				Who: c.self.Instance, What: "forget", Subject: m.Instance,
+				Who: c.self.Instance, What: audit.Forget, Subject: m.Instance,
 				From: key, Why: "closed long ago and owns nothing", Change: change,
 			},
 		})
--- a/control/self.go
+++ b/control/self.go
@@ -26,6 +26,30 @@
 // who have it as a witness.
 const witnessPatience = 5 * time.Second
 
+// ownRow is what a Core knows of its own row.
+type ownRow struct {
+	// self is the row as last known to be in the table.
+	self    wire.Member
+	version uint64
+	// loadedAt is when the rows were read that the generation joined by.
+	loadedAt time.Time
+	joined   bool
+	closed   bool
+	// writing is true while a write of the row is under way.
+	writing bool
+	// closing is true from the start of the write that closes the row.
+	closing bool
+	// leaving is the reason of a planned leave; empty if there is none.
+	leaving  string
+	draining bool
+	drained  bool
+	// leftSince is when the own work of a leaving daemon was done.
+	leftSince time.Time
+	// placedOf is View.Changes when the places of the witnesses were last compared
+	// with those of all members.
+	placedOf uint64
+}
+
 // loaded joins: it writes the own row for the first time.
 func (c *Core) loaded(now time.Time, m Loaded) {
 	c.wall, c.loadedAt = m.Wall, now
@@ -33,7 +57,7 @@
 	next := c.self
 	next.Witnesses = lease.Choose(c.self, c.witnessCandidates(), nil)
 	next.Joined = c.wall
-	c.writeSelf(next, "join", "started")
+	c.writeSelf(next, audit.Join, "started")
 }
 
 // writeSelf starts a conditional write of the own row.
@@ -124,7 +148,7 @@
 	if want, why := c.wantWitnesses(now); why != "" {
 		next := c.self
 		next.Witnesses = want
-		c.writeSelf(next, "witness", why)
+		c.writeSelf(next, audit.Witness, why)
 	}
 }
 
@@ -233,7 +257,7 @@
 	case c.self.State == wire.StateActive:
 		next := c.self
 		next.State = wire.StateLeaving
-		c.writeSelf(next, "leave", c.leaving)
+		c.writeSelf(next, audit.Leave, c.leaving)
 	case c.moving:
 	case c.owned() == 0 || c.drained:
 		c.keepLeft(now)
@@ -251,7 +275,7 @@
 		next := c.self
 		next.State = wire.StateLeft
 		c.leftSince = now
-		c.writeSelf(next, "leave", "its own work is done")
+		c.writeSelf(next, audit.Leave, "its own work is done")
 	case !c.countedOn(now):
 		c.closeSelf(now)
 	}
@@ -289,7 +313,7 @@
 	// that it witnessed; a closed row without witnesses says so.
 	next.Witnesses = nil
 	c.closing = true
-	c.writeSelf(next, "left", c.leaving)
+	c.writeSelf(next, audit.Leave, c.leaving)
 }
 
 // tombstones returns the rows that a transaction has deleted. A key is never
--- a/control/spread.go
+++ b/control/spread.go
@@ -14,6 +14,17 @@
 // fanout is how many peers each daemon passes news to.
 const fanout = 4
 
+// spreadState is what a Core needs to pass news on and to compare rows.
+type spreadState struct {
+	nextCompare time.Time
+	compareTurn int
+	nextConfig  time.Time
+	nextFill    time.Time
+	// ring is kept while View.Changes is at ringOf.
+	ring   []wire.Generation
+	ringOf uint64
+}
+
 // neighbours returns the peers that news is passed to: the next member on each
 // of several rings, each in an order of its own. Together the rings make a
 // random graph in which every daemon is a few steps from every other.
@@ -78,6 +89,24 @@
 	})
 }
 
+// fillGaps reads the rows again if some are missing here: whoever knew them may
+// be lost. Each daemon waits for a time of its own first, so that one reads and
+// the others get the rows from it.
+func (c *Core) fillGaps(now time.Time) {
+	if !c.view.Snapshot().Gaps(c.self.Service) {
+		c.nextFill = time.Time{}
+		return
+	}
+	if c.nextFill.IsZero() {
+		c.nextFill = now.Add(time.Duration(c.random.Int64N(int64(gapWait))))
+	}
+	if now.Before(c.nextFill) || !c.storeReady(now) {
+		return
+	}
+	c.nextFill = now.Add(gapRest)
+	c.emit(Reload{})
+}
+
 // watchConfig has one daemon of all read the row of the configuration now and
 // then: who accepted a file may be lost before it told anyone.
 func (c *Core) watchConfig(now time.Time) {
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -32,6 +32,28 @@
 	writing bool
 }
 
+// takeoverState is what a Core knows of generations that are closed or may have
+// to be.
+type takeoverState struct {
+	takeovers map[wire.Generation]*takeover
+	// predecessor are the open generations with the own address, and since when
+	// they have been known.
+	predecessor map[wire.Generation]time.Time
+	// orphans are those with too few open witnesses, and since when.
+	orphans map[wire.Generation]time.Time
+	// closedSince is when the closing of a generation was learned.
+	closedSince map[wire.Generation]time.Time
+}
+
+func newTakeoverState() takeoverState {
+	return takeoverState{
+		takeovers:   make(map[wire.Generation]*takeover),
+		predecessor: make(map[wire.Generation]time.Time),
+		orphans:     make(map[wire.Generation]time.Time),
+		closedSince: make(map[wire.Generation]time.Time),
+	}
+}
+
 // findTakeovers starts attempts on holders whose lease has run out.
 func (c *Core) findTakeovers(now time.Time) {
 	if c.closing {
@@ -158,7 +180,7 @@
 	c.emit(Write{
 		Purpose: PurposeTakeover, Subject: row.Generation, Transaction: tx,
 		Entry: audit.Entry{
-			Who: c.self.Instance, What: "takeover", Subject: row.Instance,
+			Who: c.self.Instance, What: audit.Takeover, Subject: row.Instance,
 			From: names([]wire.Generation{row.Generation}), To: names(heirs), Why: why, Change: tx.ID,
 		},
 	})
