--- a/control/model_test.go
+++ b/control/model_test.go
@@ -50,6 +50,9 @@
 	var total stats
 	for seed := *from; seed < *from+int64(*seeds); seed++ {
 		w := newWorld(setupOf(seed))
+		if seed == *trace {
+			w.traceTo(func(line string) { t.Log(line) })
+		}
 		if violation := w.run(); violation != "" {
 			t.Errorf("seed %d: %s", seed, violation)
 		}
--- a/control/debug_test.go
+++ b/control/trace_test.go
@@ -3,20 +3,17 @@
 import (
 	"flag"
 	"fmt"
-	"testing"
 
 	"fulmarrun/control"
 )
 
-var trace = flag.Int64("control.trace", 0, "seed of a run to print")
+var trace = flag.Int64("control.trace", 0, "seed of the run in TestModel whose steps are printed")
 
-func TestTrace(t *testing.T) {
-	if *trace == 0 {
-		t.Skip("no seed given")
+// traceTo prints the steps of a run.
+func (w *world) traceTo(print func(string)) {
+	w.trace = func(format string, args ...any) {
+		print(fmt.Sprintf("%v "+format, append([]any{w.now}, args...)...))
 	}
-	w := newWorld(setupOf(*trace))
-	w.trace = func(format string, args ...any) { fmt.Printf("%v "+format+"\n", append([]any{w.now}, args...)...) }
-	t.Log(w.run())
 }
 
 func (p *process) traced(m control.Message, effects []control.Effect) {
