admission: learn the pace of a target that became slower

Cause: one target of a keyed service goes from 5 to 205 ms and still bears 20 at once. The limit fell to (or stood at) its start of 2. The first step up then began a probe of 64 requests at a limit of 2, and so did later ones. The queue filled with what ran out of time; the owner counted that as failures, which halve the limit.

Change: the answers of the slow rounds are the new baseline at once, after three rounds or two that lasted 1 s; then rounds of 9, steps of half and at most 3, without probes, until a round is slow or the target not full. A probe ends after 1 s with 16 requests. A request that ran out of its time, also by the target's clock (504), is Cancelled: a lower bound, and none if little was left. The 504 is from reading (the stub's clock ends up to 1 ms earlier), not from a run that showed harm.

Conclusion: the owner's own pace is learnt; what is lost is in the first seconds, and under probes at more than 4/5 of what is borne.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -51,6 +51,16 @@
 	return s.sum / float64(s.count)
 }
 
+// merge takes all of another's latencies in.
+func (s *sample) merge(o *sample) {
+	if s.count == 0 || o.count > 0 && o.least < s.least {
+		s.least = o.least
+	}
+	s.count += o.count
+	s.sum += o.sum
+	s.sumSq += o.sumSq
+}
+
 // variation returns the standard deviation as a share of the mean.
 func (s *sample) variation() float64 {
 	mean := s.mean()
@@ -144,6 +154,16 @@
 	*b = Baseline{}
 }
 
+// begin forgets everything but these samples, which are the baseline at once if
+// they are enough. The fewer they are, the further it lies above their mean.
+func (b *Baseline) begin(s sample) {
+	b.Reset()
+	b.open = s
+	if s.count >= paceMin {
+		b.read(&b.open)
+	}
+}
+
 // Refresh closes the open bucket early if the baseline is stale and the bucket
 // holds enough to be used.
 func (b *Baseline) Refresh(now time.Time) {
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -20,6 +20,25 @@
 	// patience is the number of slow rounds in a row at the start limit after
 	// which a baseline is given up.
 	patience = 2
+	// patienceTime is how long fewer slow rounds at the start limit last after
+	// which a baseline is given up too.
+	patienceTime = time.Second
+	// paceMin is the least number of answers from which a new baseline is taken
+	// at once.
+	paceMin = 6
+	// startupRound is the number of requests in a round during startup.
+	startupRound = 9
+	// startupShare is the part of the limit that it grows by during startup, as
+	// a divisor.
+	startupShare = 2
+	// startupStep is the most that startupShare adds to a limit.
+	startupStep = 3
+	// startupFull is the number of requests in a round that must find the target
+	// full, or else startup is over. The others may fill it up after a step.
+	startupFull = startupRound - startupStep
+	// probeTime is how long a probe of the baseline lasts at most, if bucketMin
+	// requests began in it.
+	probeTime = time.Second
 	// cutFactor is how many times what is near the baseline halves the limit.
 	cutFactor = 2.0
 	// coldFactor is how many times what is near the baseline shows that the
@@ -81,6 +100,13 @@
 	rounds uint32
 	failed int
 	slow   int
+	// slowSince is when the first of the slow rounds began. pace sums up the
+	// answers of the others; the first may hold some from before the change.
+	slowSince time.Time
+	pace      sample
+	// startup is true from when the target's own pace was learnt anew until a
+	// round is slow or the target not full.
+	startup bool
 
 	baseline Baseline
 	// restore is the limit to return to after a probe of the baseline; zero
@@ -180,6 +206,9 @@
 		if b.light {
 			l.baseline.Add(c.Latency, now)
 		}
+		if member && l.limit <= l.start {
+			l.round.answers.add(float64(c.Latency))
+		}
 	}
 	if member {
 		l.round.end(b.offset, c.Latency)
@@ -191,7 +220,8 @@
 func (l *Limiter) check(now time.Time) {
 	mean := l.round.mean(now)
 	early := l.round.begun >= roundEarly && l.known() && mean > cutFactor*l.near(l.round.begun, 1)
-	if early || l.round.over() {
+	enough := l.restore > 0 && l.round.begun >= bucketMin && now.Sub(l.round.origin) >= probeTime
+	if early || enough || l.round.over() {
 		l.judge(mean, now)
 	}
 }
@@ -216,6 +246,9 @@
 	if l.restore > 0 {
 		return max(bucketSize, l.limit)
 	}
+	if l.startup {
+		return startupRound
+	}
 	return max(roundMin, 2*l.limit)
 }
 
@@ -223,37 +256,49 @@
 func (l *Limiter) judge(mean float64, now time.Time) {
 	crowded := l.round.crowded()
 	near := l.near(l.round.begun, chance)
+	ended := l.round
 	l.clear(now)
 	if l.restore > 0 {
 		l.endProbe(now)
 		return
 	}
+	l.startup = l.startup && ended.full >= startupFull && mean <= near
+	if l.known() && mean > coldFactor*near {
+		l.proven = 0
+	}
 	switch {
 	case !l.known():
+	case l.limit <= l.start && (mean > cutFactor*near || mean > near && crowded):
+		l.outpaced(&ended, crowded, now)
 	case mean > coldFactor*near:
-		l.proven = 0
 		l.slowed(min(l.limit, l.start), now)
 	case mean > cutFactor*near:
 		l.slowed(l.limit/2, now)
 	case mean > near && crowded:
 		l.slowed(l.limit, now)
-	case mean <= l.near(1, 0) && crowded:
-		l.slow = 0
-		l.grow(now)
+	case mean <= l.near(1, 0):
+		l.steady()
+		if crowded {
+			l.grow(now)
+		}
 	}
 }
 
 // grow raises the limit by a step, or measures the baseline anew first, under
 // half of the limit, if it is too old or too uncertain to compare with.
 func (l *Limiter) grow(now time.Time) {
-	if l.limit > l.start && l.due(now) {
+	if l.limit > l.start && !l.startup && l.due(now) {
 		l.restore = l.limit
 		l.probedAt = now
 		l.move(max(l.start, l.limit/2), now)
 		return
 	}
 	l.proven = max(l.proven, l.limit)
-	l.set(l.limit+Step(l.limit), now)
+	step := Step(l.limit)
+	if l.startup {
+		step = max(step, min(l.limit/startupShare, startupStep))
+	}
+	l.set(l.limit+step, now)
 }
 
 // due reports whether the baseline has to be measured anew.
@@ -261,17 +306,35 @@
 	return l.baseline.Stale(now) || l.baseline.Thin() && now.Sub(l.probedAt) > probeInterval
 }
 
-// slowed lowers the limit after a slow round. At the start limit the load can't
-// be the cause, so after some such rounds their latency is the new baseline.
-func (l *Limiter) slowed(limit int, now time.Time) {
+// outpaced answers a slow round at the start limit. There the load can't be the
+// cause, so after some such rounds their latency is the new baseline, and since
+// they met it the limit grows at once.
+func (l *Limiter) outpaced(slow *round, crowded bool, now time.Time) {
+	if l.slow == 0 {
+		l.slowSince = slow.origin
+	} else {
+		l.pace.merge(&slow.answers)
+	}
 	l.slow++
-	if l.limit <= l.start {
-		if l.slow > patience {
-			l.baseline.Reset()
-			l.slow = 0
-		}
+	long := l.pace.count >= paceMin && now.Sub(l.slowSince) >= patienceTime
+	if l.slow <= patience && !long {
 		return
 	}
+	l.baseline.begin(l.pace)
+	l.steady()
+	if l.startup = l.known() && crowded; l.startup {
+		l.grow(now)
+	}
+}
+
+// steady forgets slow rounds.
+func (l *Limiter) steady() {
+	l.slow = 0
+	l.pace = sample{}
+}
+
+// slowed lowers the limit after a slow round.
+func (l *Limiter) slowed(limit int, now time.Time) {
 	if limit == l.limit {
 		limit -= Step(limit)
 	}
@@ -294,6 +357,7 @@
 // halve answers a target that sheds or fails.
 func (l *Limiter) halve(now time.Time) {
 	l.proven = 0
+	l.startup = false
 	l.set(l.limit/2, now)
 	l.cut = l.epoch
 }
@@ -304,7 +368,8 @@
 	if l.fixed {
 		return
 	}
-	l.proven, l.slow, l.peak = 0, 0, 0
+	l.proven, l.peak, l.startup = 0, 0, false
+	l.steady()
 	l.baseline.Reset()
 	l.set(l.start, now)
 	l.cut = l.epoch
@@ -329,7 +394,7 @@
 
 func (l *Limiter) move(limit int, now time.Time) {
 	if limit != l.limit {
-		l.slow = 0
+		l.steady()
 	}
 	l.limit = limit
 	l.epoch++
--- a/admission/round.go
+++ b/admission/round.go
@@ -25,6 +25,8 @@
 	// began, in nanoseconds.
 	offsets float64
 	sum     float64
+	// answers sums up the whole answers, if the round is at the start limit.
+	answers sample
 }
 
 // newRound returns a round of so many requests.
--- a/owner/server.go
+++ b/owner/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -301,11 +302,14 @@
 	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
 }
 
+// result tells admission how a request ended. One that ran out of its time, by
+// this daemon's clock or the target's, shows only that its answer takes longer
+// than it had left.
 func result(r *wire.Response, err error) admission.Result {
 	switch {
 	case r.Reason == target.ReasonShed:
 		return admission.Shed
-	case r.Reason == target.ReasonCancel:
+	case r.Reason == target.ReasonCancel, r.Reason == target.ReasonTimeout, r.Status == http.StatusGatewayTimeout:
 		return admission.Cancelled
 	case err != nil:
 		return admission.Failed
