--- a/control/move.go
+++ b/control/move.go
@@ -77,13 +77,16 @@
 	// balanceRate bounds such moves, as transactions a second of all daemons
 	// together, so that they leave room at the platform for take-overs.
 	balanceRate = 100
+	// fewMembers is how many members are not held up: all that they have to move
+	// is a few seconds' work for the platform.
+	fewMembers = 50
 )
 
 // ration leaves time between two moves for balance, the more the more daemons
 // there are. Moves of those who must give their slots away are not held up.
 func (c *Core) ration(now time.Time, m Move) {
-	if m.Reason == reasonBalance {
-		c.nextBalance = now.Add(time.Second * time.Duration(len(c.view.Members())) / balanceRate)
+	if members := len(c.view.Members()); m.Reason == reasonBalance && members > fewMembers {
+		c.nextBalance = now.Add(time.Second * time.Duration(members) / balanceRate)
 	}
 }
 
