--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -7,12 +7,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -78,9 +77,6 @@
 	file      string
 	// trace, if there is one, takes down each request and its runs.
 	trace *trace
-
-	mu    sync.Mutex
-	ports map[uint16]bool
 }
 
 // fileSlots is the number of slots in file.
@@ -114,7 +110,7 @@
 
 func deployWith(t testing.TB, n int, checks bool, tr *trace) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), ports: make(map[uint16]bool), trace: tr}
+	d := &deployment{t: t, dir: t.TempDir(), trace: tr}
 	d.store = d.address()
 	d.platform = d.start("fulmarstub", "platform", "--listen", d.store)
 	t.Cleanup(d.stop)
@@ -135,27 +131,36 @@
 	return d
 }
 
+// Ports are taken in turn from below the range that the system gives to sockets
+// without a port of their own, or another connection could take one before its
+// process binds it.
+const (
+	firstPort = 12000
+	portCount = 20000
+)
+
+var portsTaken atomic.Uint32
+
 // address returns a loopback address whose port is free for TCP and UDP.
 func (d *deployment) address() string {
 	d.t.Helper()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		offset := (uint32(os.Getpid())*64 + portsTaken.Add(1)) % portCount
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			d.t.Fatal(err)
+			continue
 		}
-		addr := l.Addr().String()
-		port := netip.MustParseAddrPort(addr).Port()
 		udp, err := net.ListenPacket("udp", addr)
 		_ = l.Close()
-		if err != nil || d.ports[port] {
+		if err != nil {
 			continue
 		}
 		_ = udp.Close()
-		d.ports[port] = true
 		return addr
 	}
+	d.t.Fatal("no port is free")
+	return ""
 }
 
 func (d *deployment) write(name, text string) {
