--- a/control/self.go
+++ b/control/self.go
@@ -337,10 +337,15 @@
 	return slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Key == key && r.Version == 0 })
 }
 
+// TableRow returns a row of the platform as daemons exchange it.
+func TableRow(r platform.Row) wire.Row {
+	return wire.Row{Key: r.Key, Version: r.Version, Value: r.Value}
+}
+
 func tableRows(rows []platform.Row) []wire.Row {
 	out := make([]wire.Row, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, wire.Row{Key: r.Key, Version: r.Version, Value: r.Value})
+		out = append(out, TableRow(r))
 	}
 	return out
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -155,7 +155,7 @@
 	defer cancel()
 	row, err := i.d.store.Get(ctx, routes.ConfigKey)
 	if err == nil {
-		i.post(ctx, control.RowsArrived{Rows: []wire.Row{{Key: row.Key, Version: row.Version, Value: row.Value}}})
+		i.post(ctx, control.RowsArrived{Rows: []wire.Row{control.TableRow(row)}})
 	}
 	i.post(ctx, control.Tick{StoreAnswered: i.d.store.Answered(), Wall: time.Now()})
 }
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -240,7 +240,7 @@
 				return nil, fmt.Errorf("list %s: %w", prefix, err)
 			}
 			for _, r := range page {
-				out = append(out, wire.Row{Key: r.Key, Version: r.Version, Value: r.Value})
+				out = append(out, control.TableRow(r))
 				after = r.Key
 			}
 			if len(page) < listPage {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return
 	}
-	i.post(ctx, control.RowsArrived{Rows: []wire.Row{{Key: row.Key, Version: row.Version, Value: row.Value}}})
+	i.post(ctx, control.RowsArrived{Rows: []wire.Row{control.TableRow(row)}})
 }
 
 func (d *Daemon) show(context.Context) (operator.ShowReply, error) {
--- a/handover/units.go
+++ b/handover/units.go
@@ -48,17 +48,24 @@
 	return &u.shards[h%unitShards]
 }
 
+// state returns the state of a unit, which it makes if there is none; the lock is
+// held.
+func (s *unitShard) state(unit outcome.Unit) *unitState {
+	state := s.units[unit]
+	if state == nil {
+		state = &unitState{}
+		s.units[unit] = state
+	}
+	return state
+}
+
 // Enter counts one request into a unit. If the unit is frozen, it does not, and
 // returns a channel that is closed when the request may be routed again.
 func (u *Units) Enter(unit outcome.Unit) (wait <-chan struct{}) {
 	s := u.shard(unit)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.units[unit]
-	if state == nil {
-		state = &unitState{}
-		s.units[unit] = state
-	}
+	state := s.state(unit)
 	if state.frozen != nil {
 		return state.frozen
 	}
@@ -122,11 +129,7 @@
 	s := u.shard(unit)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.units[unit]
-	if state == nil {
-		state = &unitState{}
-		s.units[unit] = state
-	}
+	state := s.state(unit)
 	if state.frozen == nil {
 		state.frozen = make(chan struct{})
 		for recall := range state.recalls {
--- a/lease/process_test.go
+++ b/lease/process_test.go
@@ -8,6 +8,7 @@
 
 	"fulmarrun/lease"
 	"fulmarrun/platform"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -302,7 +303,7 @@
 	row.Witnesses = witnesses
 	row.Change = p.change()
 	value, _ := wire.Encode(&row)
-	key := lease.MemberKey(row.Generation)
+	key := routes.MemberKey(row.Generation)
 	p.holder.Begin(witnesses)
 	p.begunAt = p.version
 	p.write(platform.Transaction{
@@ -390,7 +391,7 @@
 		Writes:     []platform.Write{{Key: slotKey, Value: value}},
 	}
 	if openSelf {
-		own := platform.Condition{Key: lease.MemberKey(p.self.Generation), Version: p.version}
+		own := platform.Condition{Key: routes.MemberKey(p.self.Generation), Version: p.version}
 		tx.Conditions = append(tx.Conditions, own)
 	}
 	p.write(tx, &p.w.stats.moves)
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/platform"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -58,11 +59,6 @@
 	next time.Time
 }
 
-// MemberKey returns the key of a generation's member row.
-func MemberKey(g wire.Generation) string {
-	return fmt.Sprintf("member/%016x", uint64(g))
-}
-
 // NewTakeover returns a Takeover of the holder whose member row is row at the
 // given version.
 func NewTakeover(row wire.Member, version uint64, now time.Time, opts ...Option) *Takeover {
@@ -188,11 +184,11 @@
 	if err != nil {
 		return platform.Transaction{}, fmt.Errorf("encode closed row: %w", err)
 	}
-	key := MemberKey(row.Generation)
+	key := routes.MemberKey(row.Generation)
 	tx := platform.Transaction{
 		ID: change,
 		Conditions: []platform.Condition{
-			{Key: MemberKey(closer.Generation), Version: closerVersion},
+			{Key: routes.MemberKey(closer.Generation), Version: closerVersion},
 			{Key: key, Version: t.version},
 		},
 		Writes: []platform.Write{{Key: key, Value: value}},
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -9,6 +9,7 @@
 
 	"fulmarrun/lease"
 	"fulmarrun/platform"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -316,7 +317,7 @@
 func (w *world) list() []platform.Row {
 	rows := make([]platform.Row, 0, len(w.rows))
 	for g := range w.number {
-		if row, ok := w.rows[lease.MemberKey(g+1)]; ok {
+		if row, ok := w.rows[routes.MemberKey(g+1)]; ok {
 			rows = append(rows, row)
 		}
 	}
--- a/operator/applier.go
+++ b/operator/applier.go
@@ -11,6 +11,7 @@
 
 	"fulmarrun/audit"
 	"fulmarrun/platform"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -94,17 +95,17 @@
 	var row platform.Row
 	var current wire.Current
 	err := platform.Repeat(ctx, func() (err error) {
-		row, err = a.store.Get(ctx, CurrentKey)
+		row, err = a.store.Get(ctx, routes.ConfigKey)
 		return err
 	}, a.backoff...)
 	if errors.Is(err, platform.ErrMissing) {
 		return platform.Row{}, current, nil
 	}
 	if err != nil {
-		return row, current, fmt.Errorf("get %s: %w", CurrentKey, err)
+		return row, current, fmt.Errorf("get %s: %w", routes.ConfigKey, err)
 	}
 	if err := wire.Decode(row.Value, &current); err != nil {
-		return row, current, fmt.Errorf("get %s: %w", CurrentKey, err)
+		return row, current, fmt.Errorf("get %s: %w", routes.ConfigKey, err)
 	}
 	return row, current, nil
 }
@@ -156,8 +157,8 @@
 	var seen wire.Current
 	outcome := platform.Settle(ctx, a.store, platform.Transaction{
 		ID:         next.Change,
-		Conditions: []platform.Condition{{Key: CurrentKey, Version: version}},
-		Writes:     []platform.Write{{Key: CurrentKey, Value: value}},
+		Conditions: []platform.Condition{{Key: routes.ConfigKey, Version: version}},
+		Writes:     []platform.Write{{Key: routes.ConfigKey, Value: value}},
 	}, func(row platform.Row) bool {
 		seen = wire.Current{}
 		if err := wire.Decode(row.Value, &seen); err != nil {
@@ -214,7 +215,7 @@
 		At:      current.At,
 		Who:     current.Author,
 		What:    audit.Config,
-		Subject: CurrentKey,
+		Subject: routes.ConfigKey,
 		From:    strconv.FormatUint(current.Number-1, 10),
 		To:      strconv.FormatUint(current.Number, 10),
 		Why:     "apply of " + current.Digest,
--- a/operator/applier_test.go
+++ b/operator/applier_test.go
@@ -18,6 +18,7 @@
 	"fulmarrun/operator"
 	"fulmarrun/platform"
 	"fulmarrun/platformstub"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -44,7 +45,7 @@
 // inForce returns the configuration in force and its text.
 func inForce(store *platform.Store) (wire.Current, string, error) {
 	var current wire.Current
-	row, err := store.Get(ctx, operator.CurrentKey)
+	row, err := store.Get(ctx, routes.ConfigKey)
 	if errors.Is(err, platform.ErrMissing) {
 		return current, "", nil
 	}
--- a/operator/load.go
+++ b/operator/load.go
@@ -11,9 +11,6 @@
 	"fulmarrun/wire"
 )
 
-// CurrentKey is the key of the row with the wire.Current in force.
-const CurrentKey = "config/current"
-
 // objectPrefix is the start of the name of each section's object.
 const objectPrefix = "config/"
 
--- a/operator/promise_spread_test.go
+++ b/operator/promise_spread_test.go
@@ -13,6 +13,7 @@
 	"fulmarrun/operator"
 	"fulmarrun/platform"
 	"fulmarrun/platformstub"
+	"fulmarrun/routes"
 )
 
 const spreadFile = `{"services":[{"name":"agenda","slots":64,"kinds":[
@@ -26,14 +27,14 @@
 	store := *stub.Store()
 	get, transact := store.Get, store.Transact
 	store.Get = func(ctx context.Context, key string) (platform.Row, error) {
-		if key == operator.CurrentKey && failing.CompareAndSwap(true, false) {
+		if key == routes.ConfigKey && failing.CompareAndSwap(true, false) {
 			return platform.Row{}, platform.ErrUnavailable
 		}
 		return get(ctx, key)
 	}
 	store.Transact = func(ctx context.Context, tx platform.Transaction) (platform.Result, error) {
 		result, err := transact(ctx, tx)
-		if tx.Writes[0].Key == operator.CurrentKey && result.Applied {
+		if tx.Writes[0].Key == routes.ConfigKey && result.Applied {
 			failing.Store(true)
 		}
 		return result, err
