handover: hold what a generation owns and what was handed over to it

Both stood unexported in daemon, where no test reached them, and their rules decide whether an ID can run twice: a unit that went and came back is opened anew, and records count only under the transfer that they came by.

--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"fulmarrun/control"
+	"fulmarrun/handover"
 	"fulmarrun/outcome"
 	"fulmarrun/owner"
 	"fulmarrun/platform"
@@ -34,8 +35,10 @@
 	core   *control.Core
 	inbox  chan control.Message
 	ledger *outcome.Ledger
-	staged *staged
-	held   holdings
+	// staging keeps records until their units follow; held are the units that
+	// are open here.
+	staging *handover.Staging
+	held    handover.Holdings
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -74,11 +77,11 @@
 	}
 	i := &incarnation{
 		d: d, self: self,
-		core:   control.NewCore(self, control.WithNames(newName)),
-		inbox:  make(chan control.Message, inboxSize),
-		ledger: outcome.NewLedger(),
-		staged: newStaged(),
-		held:   make(holdings),
+		core:    control.NewCore(self, control.WithNames(newName)),
+		inbox:   make(chan control.Message, inboxSize),
+		ledger:  outcome.NewLedger(),
+		staging: handover.NewStaging(),
+		held:    make(handover.Holdings),
 	}
 	return i
 }
@@ -186,14 +189,14 @@
 		standing.Closing == i.left && standing.Alone == i.core.Alone() {
 		return
 	}
-	gained, lost := i.held.update(snapshot, i.self)
+	gained, lost := i.held.Update(snapshot, i.self.Service, i.self.Generation)
 	i.open(gained)
 	i.d.server.Publish(&owner.Standing{
 		Generation: i.self.Generation, Service: i.self.Service, Instance: i.self.Instance,
 		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left, Alone: i.core.Alone(),
 	})
 	i.drop(lost)
-	slots, hot := i.held.grants(snapshot, i.self.Service)
+	slots, hot := i.grants(snapshot)
 	i.d.setGrants(i.self.Generation, slots, hot)
 	if len(gained)+len(lost) > 0 {
 		i.d.log.Info("slots changed", "instance", i.self.Instance, "gained", len(gained), "lost", len(lost), "owned", len(i.held))
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -50,7 +51,7 @@
 		if i == nil || i.self.Generation != q.To {
 			return nil, errNotReady
 		}
-		i.staged.add(q)
+		i.staging.Add(time.Now(), q)
 		return &wire.Ack{OK: true}, nil
 	})
 	peer.Handle(s, peer.KindStatus, func(context.Context, *wire.Query) (*wire.Status, error) {
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,71 +21,22 @@
 const (
 	// recordsPerFrame bounds the records that one frame carries.
 	recordsPerFrame = 512
-	// stagedLife is how long records of a hand-over that did not come to its end
-	// are kept.
-	stagedLife = time.Minute
 )
 
-// holding is one unit that this generation owns.
-type holding struct {
-	epoch    uint64
-	transfer uint64
-}
-
-// holdings are the units that this generation owns, as last published.
-type holdings map[outcome.Unit]holding
-
-// gain is a unit that is new here.
-type gain struct {
-	unit outcome.Unit
-	holding
-}
-
-// update brings the holdings in line with a snapshot.
-func (h holdings) update(s *routes.Snapshot, self wire.Member) (gained []gain, lost []outcome.Unit) {
-	present := make(holdings, len(h))
-	for e := range s.Holdings(self.Service) {
-		if e.Owner == nil || e.Owner.Generation != self.Generation {
-			continue
-		}
-		unit := outcome.Unit{Service: self.Service, Slot: e.Slot}
-		if e.Key != "" {
-			unit = outcome.Unit{Service: self.Service, Hot: e.Key}
-		}
-		now := holding{epoch: e.Epoch, transfer: e.Transfer}
-		present[unit] = now
-		// A unit that is held already is new again if it went away and came back
-		// between two snapshots, or if a hot key rejoined it with its records.
-		if before, held := h[unit]; !held || before != now {
-			gained = append(gained, gain{unit: unit, holding: now})
-		}
-	}
-	for unit := range h {
-		if _, still := present[unit]; !still {
-			lost = append(lost, unit)
-			delete(h, unit)
-		}
-	}
-	for unit, now := range present {
-		h[unit] = now
-	}
-	return gained, lost
-}
-
 // open starts the memory of units that are new here: what the last owner has
 // handed over, or nothing but the time.
-func (i *incarnation) open(gained []gain) {
+func (i *incarnation) open(gained []handover.Gain) {
 	now := time.Now()
 	for _, g := range gained {
-		if memory, ok := i.staged.take(g.unit, g.transfer); ok {
+		if memory, ok := i.staging.Take(g.Unit, g.Transfer); ok {
 			i.ledger.Import(memory)
 			continue
 		}
 		since := now
-		if g.epoch <= 1 {
+		if g.Epoch <= 1 {
 			since = time.Time{}
 		}
-		i.ledger.Open(g.unit, since)
+		i.ledger.Open(g.Unit, since)
 	}
 }
 
@@ -98,18 +48,19 @@
 
 // grants returns the lists for a target that checks. A hot key of an own slot
 // that another owns is withheld.
-func (h holdings) grants(s *routes.Snapshot, service string) (slots []target.SlotGrant, hot []target.HotGrant) {
-	for unit, held := range h {
+func (i *incarnation) grants(s *routes.Snapshot) (slots []target.SlotGrant, hot []target.HotGrant) {
+	service := i.self.Service
+	for unit, held := range i.held {
 		if unit.Hot == "" {
-			slots = append(slots, target.SlotGrant{From: unit.Slot, To: unit.Slot, Epoch: held.epoch})
+			slots = append(slots, target.SlotGrant{From: unit.Slot, To: unit.Slot, Epoch: held.Epoch})
 		}
 	}
 	for e := range s.Hot(service) {
-		if held, own := h[outcome.Unit{Service: service, Hot: e.Key}]; own {
-			hot = append(hot, target.HotGrant{Key: e.Key, Epoch: held.epoch})
+		if held, own := i.held[outcome.Unit{Service: service, Hot: e.Key}]; own {
+			hot = append(hot, target.HotGrant{Key: e.Key, Epoch: held.Epoch})
 			continue
 		}
-		if _, own := h[outcome.Unit{Service: service, Slot: e.Slot}]; own {
+		if _, own := i.held[outcome.Unit{Service: service, Slot: e.Slot}]; own {
 			hot = append(hot, target.HotGrant{Key: e.Key})
 		}
 	}
@@ -118,60 +69,6 @@
 	return slots, hot
 }
 
-// staged keeps the records that others have handed over until the slots follow.
-type staged struct {
-	mu       sync.Mutex
-	memories map[stagedKey]*stagedMemory
-}
-
-type stagedKey struct {
-	unit     outcome.Unit
-	transfer uint64
-}
-
-type stagedMemory struct {
-	wire.Memory
-	at time.Time
-}
-
-func newStaged() *staged {
-	return &staged{memories: make(map[stagedKey]*stagedMemory)}
-}
-
-func (s *staged) add(m *wire.Memory) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	for key, old := range s.memories {
-		if now.Sub(old.at) > stagedLife {
-			delete(s.memories, key)
-		}
-	}
-	key := stagedKey{
-		unit:     outcome.Unit{Service: m.Service, Slot: m.Slot, Hot: m.Hot},
-		transfer: m.Transfer,
-	}
-	held := s.memories[key]
-	if held == nil {
-		s.memories[key] = &stagedMemory{Memory: *m, at: now}
-		return
-	}
-	held.at = now
-	held.Records = append(held.Records, m.Records...)
-}
-
-func (s *staged) take(unit outcome.Unit, transfer uint64) (wire.Memory, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	key := stagedKey{unit: unit, transfer: transfer}
-	held := s.memories[key]
-	if held == nil || transfer == 0 {
-		return wire.Memory{}, false
-	}
-	delete(s.memories, key)
-	return held.Memory, true
-}
-
 // errNotOpen is returned for a unit that this generation does not own.
 var errNotOpen = errors.New("not owned here")
 
--- a/handover/doc.go
+++ b/handover/doc.go
@@ -13,6 +13,12 @@
 // Units counts the requests that run in each slot. Freeze stops admission to it;
 // those who come meanwhile wait for Thaw and are then routed again.
 //
+// # What comes with a unit
+//
+// Holdings tells which units are new to an owner. Staging keeps the records that
+// the last owner handed over until the unit follows, under the name of that very
+// hand-over.
+//
 // # Usage
 //
 //	moves := handover.Plan(snapshot, "agenda", eligible, self)
