Say since when a first owner has a key

Following the README's tour showed 'since not written yet: first assignment': an entry for a free slot was written without its time. The test of the path now asks since when and why, before and after a loss. A planned leave no longer warns of its lease's end.

--- a/control/plan.go
+++ b/control/plan.go
@@ -145,7 +145,7 @@
 	case !r.Known:
 		return s
 	case r.Owner == 0:
-		return wire.Slot{Owner: taker, Epoch: r.Epoch + 1}
+		return wire.Slot{Owner: taker, Epoch: r.Epoch + 1, Since: wire.MomentOf(c.wall)}
 	case r.Owner == s.Owner:
 		return s
 	default:
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
 	"fulmarrun/control"
@@ -209,7 +210,11 @@
 	leased := i.d.server.Leased()
 	if i.leased && !leased {
 		i.d.server.Lapse()
-		i.d.log.Warn("lease lost", "instance", i.self.Instance, "generation", i.self.Generation)
+		level := log.WarnLevel
+		if i.d.leaving.Load() {
+			level = log.InfoLevel
+		}
+		i.d.log.Log(level, "lease lost", "instance", i.self.Instance, "generation", i.self.Generation)
 	}
 	if !i.leased && leased {
 		i.d.log.Info("lease held", "instance", i.self.Instance, "generation", i.self.Generation)
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -71,6 +71,30 @@
 		return true
 	})
 	t.Logf("served after %s", time.Since(start))
+
+	operators := operator.NewClient(c.Nodes[0].Settings.Operator)
+	request := operator.KeyRequest{Service: "agenda", Key: "17"}
+	reply, err := operators.Key(context.Background(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reply.Since.Before(start.Add(-time.Minute)) || reply.Why != "first assignment" {
+		t.Errorf("owner since %s: %s", reply.Since, reply.Why)
+	}
+	for _, n := range c.Nodes {
+		if n.Settings.Instance == reply.Instance {
+			n.Kill()
+		}
+	}
+	until(t, 20*time.Second, "the next owner tells since when and why", func() bool {
+		for _, n := range c.Nodes {
+			next, err := operator.NewClient(n.Settings.Operator).Key(context.Background(), request)
+			if err == nil && next.Instance != reply.Instance && next.Instance != "" {
+				return !next.Since.IsZero() && next.Why == "its owner before was lost or left it free"
+			}
+		}
+		return false
+	})
 }
 
 // TestHotKey loads one key more than its owner's other keys and expects it to be
