--- a/control/self.go
+++ b/control/self.go
@@ -121,7 +121,7 @@
 		c.put(now, 0, tombstones(m.Write.Transaction))
 	}
 	if m.Write.Purpose == PurposeTakeover && m.Applied {
-		c.tellHeirs(rows)
+		c.notifyHeirs(rows)
 	}
 	if m.Write.Purpose == PurposeMove {
 		c.emit(MoveEnd{Move: m.Write.Move, Applied: m.Applied})
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -267,9 +267,9 @@
 	return far[:maxHeirs]
 }
 
-// tellHeirs sends a closed row to its heirs themselves, so that the time until
+// notifyHeirs sends a closed row to its heirs themselves, so that the time until
 // its slots are served again does not depend on the spreading of news.
-func (c *Core) tellHeirs(rows []wire.Row) {
+func (c *Core) notifyHeirs(rows []wire.Row) {
 	for _, row := range rows {
 		var m wire.Member
 		if wire.Decode(row.Value, &m) != nil || m.State != wire.StateClosed {
--- a/daemon/hot.go
+++ b/daemon/hot.go
@@ -32,12 +32,12 @@
 		case <-ticker.C:
 		}
 		if i.d.hot.Turn(time.Now()) {
-			i.judgeHot(ctx)
+			i.checkHot(ctx)
 		}
 	}
 }
 
-func (i *incarnation) judgeHot(ctx context.Context) {
+func (i *incarnation) checkHot(ctx context.Context) {
 	snapshot := i.d.server.Standing().Snapshot
 	var own []string
 	apart := make(map[string]bool)
@@ -59,14 +59,14 @@
 	if !ok {
 		return
 	}
-	if to := i.roomier(ctx, snapshot, &status); to != 0 {
+	if to := i.leastLoaded(ctx, snapshot, &status); to != 0 {
 		i.post(ctx, control.HotFound{Key: hottest.Key, To: to})
 	}
 }
 
-// roomier asks two members at random and returns the one that has less to do, if
+// leastLoaded asks two members at random and returns the one that has less to do, if
 // that is much less than here.
-func (i *incarnation) roomier(ctx context.Context, s *routes.Snapshot, own *wire.Status) wire.Generation {
+func (i *incarnation) leastLoaded(ctx context.Context, s *routes.Snapshot, own *wire.Status) wire.Generation {
 	members := s.Members(i.self.Service)
 	table := i.d.server.Standing().Table
 	best, least := wire.Generation(0), utilization(own)-reliefBy
--- /dev/null
+++ b/daemon/sockets.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+
+	"fulmarrun/peer"
+)
+
+// bindTries bounds the search for a port that is free for both TCP and UDP.
+const bindTries = 32
+
+// listeners are the sockets of the process.
+type listeners struct {
+	peer     net.Listener
+	caller   net.Listener
+	target   net.Listener
+	operator net.Listener
+}
+
+func (d *Daemon) bind() error {
+	if err := d.bindPeer(); err != nil {
+		return err
+	}
+	s := d.settings
+	for _, b := range []struct {
+		to   *net.Listener
+		addr netip.AddrPort
+		what string
+	}{
+		{&d.listeners.caller, s.Caller, "callers"},
+		{&d.listeners.target, s.Target, "target"},
+		{&d.listeners.operator, s.Operator, "operators"},
+	} {
+		l, err := net.Listen("tcp", b.addr.String())
+		if err != nil {
+			d.unbind()
+			return fmt.Errorf("bind %s: %w", b.what, err)
+		}
+		*b.to = l
+	}
+	d.settings.Caller = addrOf(d.listeners.caller.Addr())
+	d.settings.Target = addrOf(d.listeners.target.Addr())
+	d.settings.Operator = addrOf(d.listeners.operator.Addr())
+	return nil
+}
+
+// bindPeer binds one port for both TCP and UDP. A port that the settings leave
+// open is chosen until it is free for both.
+func (d *Daemon) bindPeer() error {
+	var err error
+	for range bindTries {
+		var udp *net.UDPConn
+		if udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.settings.Peer)); err != nil {
+			return fmt.Errorf("bind heartbeats: %w", err)
+		}
+		bound := addrOf(udp.LocalAddr())
+		if d.listeners.peer, err = net.Listen("tcp", bound.String()); err == nil {
+			d.datagrams, d.settings.Peer = peer.NewDatagrams(udp), bound
+			return nil
+		}
+		_ = udp.Close()
+		if d.settings.Peer.Port() != 0 {
+			break
+		}
+	}
+	return fmt.Errorf("bind peers: %w", err)
+}
+
+// addrOf returns the address that a socket is bound to.
+func addrOf(a net.Addr) netip.AddrPort {
+	switch a := a.(type) {
+	case *net.TCPAddr:
+		return a.AddrPort()
+	case *net.UDPAddr:
+		return a.AddrPort()
+	default:
+		return netip.AddrPort{}
+	}
+}
+
+func (d *Daemon) unbind() {
+	_ = d.datagrams.Close()
+	for _, l := range []net.Listener{d.listeners.peer, d.listeners.caller, d.listeners.target, d.listeners.operator} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -48,7 +48,7 @@
 	case a.State == target.StateLeaving:
 		// Keyed requests wait in the paused queue until their slots have moved.
 		d.gate.Pause()
-		d.server.TurnAway()
+		d.server.RefuseUnkeyed()
 		d.Leave("its target leaves")
 	case !before.present(now):
 		d.gate.Resume()
@@ -160,7 +160,7 @@
 		}
 		present = now
 		d.server.Expire()
-		d.hangUp()
+		d.closeIdlePeers()
 	}
 }
 
@@ -180,8 +180,8 @@
 	d.gate.Report(health)
 }
 
-// hangUp ends the connections to generations that are closed.
-func (d *Daemon) hangUp() {
+// closeIdlePeers ends the connections to generations that are closed.
+func (d *Daemon) closeIdlePeers() {
 	snapshot := d.server.Standing().Snapshot
 	if snapshot == nil {
 		return
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -157,8 +157,8 @@
 	return r
 }
 
-// rest waits until the routes change, the pause is over or ctx ends.
-func rest(ctx context.Context, s *routes.Snapshot, d time.Duration) {
+// waitForRoutes waits until the routes change, the pause is over or ctx ends.
+func waitForRoutes(ctx context.Context, s *routes.Snapshot, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -63,7 +63,7 @@
 	if left <= 0 {
 		return refuse(ReasonOwner, k.asked || k.lost)
 	}
-	rest(ctx, snapshot, left)
+	waitForRoutes(ctx, snapshot, left)
 	return nil
 }
 
@@ -75,10 +75,10 @@
 	case err == nil && !response.Moved:
 		return k.final(response)
 	case err == nil:
-		rest(ctx, snapshot, pause)
+		waitForRoutes(ctx, snapshot, pause)
 		return nil
 	case notBegun(err):
-		rest(ctx, snapshot, pause)
+		waitForRoutes(ctx, snapshot, pause)
 		return nil
 	}
 	k.lost = true
@@ -92,7 +92,7 @@
 		return refuse(ReasonLost, true)
 	}
 	if !errors.Is(err, errRerouted) {
-		rest(ctx, snapshot, pause)
+		waitForRoutes(ctx, snapshot, pause)
 	}
 	return nil
 }
--- a/owner/server.go
+++ b/owner/server.go
@@ -47,10 +47,10 @@
 
 	ledger atomic.Pointer[outcome.Ledger]
 
-	standing atomic.Pointer[Standing]
-	lease    *leaseClock
-	running  atomic.Int64
-	away     atomic.Bool
+	standing      atomic.Pointer[Standing]
+	lease         *leaseClock
+	running       atomic.Int64
+	refuseUnkeyed atomic.Bool
 }
 
 // NewServer returns a server that refuses everything until Publish.
@@ -90,9 +90,9 @@
 	}
 }
 
-// TurnAway refuses requests of unkeyed kinds from now on: other members can serve
+// RefuseUnkeyed refuses requests of unkeyed kinds from now on: other members can serve
 // them. Keyed requests wait for their slot to change hands.
-func (s *Server) TurnAway() { s.away.Store(true) }
+func (s *Server) RefuseUnkeyed() { s.refuseUnkeyed.Store(true) }
 
 // Lapse cancels all keyed requests that run at the target.
 func (s *Server) Lapse() { s.lease.lapse() }
@@ -133,7 +133,7 @@
 	ctx, cancel := within(ctx, req.Wait)
 	defer cancel()
 	if !kind.Keyed() {
-		if s.away.Load() {
+		if s.refuseUnkeyed.Load() {
 			return wire.Refuse(admission.ReasonDraining, leaseRetry)
 		}
 		return s.run(ctx, &job{req: req, kind: kind, lease: context.Background()})
