--- a/cli/run.go
+++ b/cli/run.go
@@ -6,6 +6,7 @@
 	"io"
 	stdlog "log"
 	"os"
+	"runtime"
 	"syscall"
 
 	"github.com/charmbracelet/log"
@@ -47,6 +48,7 @@
 		return fmt.Errorf("set log level: %w", err)
 	}
 	c.app.log.SetLevel(level)
+	runtime.GOMAXPROCS(settings.Cores)
 	// What net/http logs by itself can hold parts of answers.
 	stdlog.SetOutput(io.Discard)
 	return untilSignal(c.ctx, func(ctx context.Context) error {
--- a/config/settings.go
+++ b/config/settings.go
@@ -14,6 +14,10 @@
 // say.
 const DefaultBody = 1 << 20
 
+// DefaultCores is the number of cores that a process uses if the settings do not
+// say.
+const DefaultCores = 2
+
 // DefaultHeader is the size of the largest header in bytes if the settings do
 // not say.
 const DefaultHeader = 64 << 10
@@ -49,6 +53,8 @@
 	Body int64
 	// Header is the size of the largest header in bytes.
 	Header int
+	// Cores is the number of cores that the process uses at once.
+	Cores int
 }
 
 // ParseSettings reads the settings of one process. The name is used in error
@@ -89,6 +95,7 @@
 	Log      *string      `json:"log"`
 	Body     *json.Number `json:"body"`
 	Header   *json.Number `json:"header"`
+	Cores    *json.Number `json:"cores"`
 }
 
 func (r *rawSettings) settings(d *document) *Settings {
@@ -101,6 +108,7 @@
 		Log:      DefaultLog,
 		Body:     DefaultBody,
 		Header:   DefaultHeader,
+		Cores:    DefaultCores,
 	}
 	if r.Drain != nil {
 		s.Drain = d.duration("/drain", *r.Drain)
@@ -114,6 +122,9 @@
 	if r.Body != nil {
 		s.Body = int64(d.integer("/body", *r.Body))
 	}
+	if r.Cores != nil {
+		s.Cores = d.integer("/cores", *r.Cores)
+	}
 	if r.Header != nil {
 		s.Header = d.integer("/header", *r.Header)
 	}
--- a/config/settings_test.go
+++ b/config/settings_test.go
@@ -30,6 +30,7 @@
 		Log:      "info",
 		Body:     1 << 20,
 		Header:   64 << 10,
+		Cores:    2,
 	}
 	if *s != want {
 		t.Errorf("settings %+v, want %+v", *s, want)
@@ -38,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Drain != config.DefaultDrain || s.Log != config.DefaultLog || s.Body != config.DefaultBody || s.Header != config.DefaultHeader {
+	if s.Drain != config.DefaultDrain || s.Log != config.DefaultLog || s.Body != config.DefaultBody || s.Header != config.DefaultHeader || s.Cores != config.DefaultCores {
 		t.Errorf("defaults %+v", *s)
 	}
 }
@@ -55,11 +56,12 @@
 		"port zero":   {`"10.0.2.7:7002"`, `"10.0.2.7:0"`, `10:13: caller: ` + address},
 		"unspecified": {`"10.0.2.7:7002"`, `"0.0.0.0:7002"`, `10:13: caller: ` + address},
 		"twice":       {`"10.0.2.7:7002"`, `"10.0.2.7:7001"`, `10:13: caller: want another address than that of peer`},
-		"unknown":     {`"domain"`, `"zone":1,"domain"`, `8:3: zone: want one of the fields body, caller, domain,`},
+		"unknown":     {`"domain"`, `"zone":1,"domain"`, `8:3: zone: want one of the fields body, caller, cores, domain,`},
 		"missing":     {`"domain": "cluj-a",`, ``, `4:1: file: want a field "domain", got none`},
 		"drain":       {`"domain"`, `"drain":"0s","domain"`, `8:11: drain: want a duration above 0 and up to 10m, got "0s"`},
 		"log":         {`"domain"`, `"log":"loud","domain"`, `8:9: log: want one of "debug", "info", "warn", "error", got "loud"`},
 		"body":        {`"domain"`, `"body":0,"domain"`, `8:10: body: want at least 1, got 0`},
+		"cores":       {`"domain"`, `"cores":0,"domain"`, `8:11: cores: want at least 1, got 0`},
 		"header":      {`"domain"`, `"header":2048.5,"domain"`, `8:12: header: want a value of type integer, got 2048.5`},
 		"service":     {`"atelier-front"`, `"Atelier"`, `6:14: service: want 1 to 63 of the characters a-z, 0-9 and -`},
 	} {
