Join and check the sections of a file in one place

The daemon kept a section before it was checked, so that a spoiled object would have stayed with it (read, not seen); it keeps them once all are right. A function that only returned nil gave way to a variable.

Seen and left: control.closePredecessor builds the closing row that lease.Takeover.Succeed builds as well.

--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
@@ -57,29 +56,38 @@
 }
 
 // load returns the text of a configuration, from here, the peer or the platform.
+// Sections are kept only once all are known to be right.
 func (c *configs) load(ctx context.Context, current wire.Current, from netip.AddrPort) ([]byte, error) {
-	sections := make([][]byte, 0, len(current.Sections))
-	for _, digest := range current.Sections {
-		data := c.section(digest)
-		if data == nil {
-			data = c.fetch(ctx, digest, from)
-		}
-		if data == nil {
-			var err error
-			if data, err = c.store.GetObject(ctx, operator.ObjectName(digest)); err != nil {
-				return nil, fmt.Errorf("load section: %w", err)
-			}
-		}
-		c.keep(digest, data)
-		sections = append(sections, data)
+	got := make(map[string][]byte, len(current.Sections))
+	text, err := operator.Assemble(current, func(digest string) ([]byte, error) {
+		data, err := c.get(ctx, digest, from)
+		got[digest] = data
+		return data, err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	text := bytes.Join(sections, nil)
-	if operator.Digest(text) != current.Digest {
-		return nil, fmt.Errorf("configuration %d: %w", current.Number, operator.ErrDigest)
+	for digest, data := range got {
+		c.keep(digest, data)
 	}
 	return text, nil
 }
 
+// get returns one section.
+func (c *configs) get(ctx context.Context, digest string, from netip.AddrPort) ([]byte, error) {
+	if data := c.section(digest); data != nil {
+		return data, nil
+	}
+	if data := c.fetch(ctx, digest, from); data != nil {
+		return data, nil
+	}
+	data, err := c.store.GetObject(ctx, operator.ObjectName(digest))
+	if err != nil {
+		return nil, fmt.Errorf("get section: %w", err)
+	}
+	return data, nil
+}
+
 // fetch asks the peer that the news came from, so that the platform is not read
 // once for each daemon.
 func (c *configs) fetch(ctx context.Context, digest string, from netip.AddrPort) []byte {
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -101,7 +101,7 @@
 	i.spawn(i.watchHot)
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
-	overdue := newTimer()
+	var overdue <-chan time.Time
 	for !i.closed && !i.left {
 		select {
 		case <-ctx.Done():
@@ -122,8 +122,6 @@
 	return i.left, nil
 }
 
-func newTimer() <-chan time.Time { return nil }
-
 // end stops everything that ran for this generation.
 func (i *incarnation) end() {
 	i.d.server.SetLease(time.Time{})
