Mend two tests whose verdict hung on timing

TestNotRun's server closed each connection as it accepted it, so that net/http could see the end before the lease was checked; the request had still not run, but for another reason. Locally, TestHedgesWhereThePriceAllows set its script anew while a hedge of an earlier request could still read it (race detector).

Ruled out: a fault of the client. No byte reached the server in either.

Now the server holds the connection and the test counts the bytes that arrive, which must be none; before, nothing was asserted of them. The last request of the hedge test has a script of its own.

--- a/forward/keyed_test.go
+++ b/forward/keyed_test.go
@@ -72,10 +72,10 @@
 
 func (s *script) call(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 	s.mu.Lock()
-	n := min(len(s.tries), len(s.steps)-1)
+	next := s.steps[min(len(s.tries), len(s.steps)-1)]
 	s.tries, s.to = append(s.tries, *req), append(s.to, to.Generation)
 	s.mu.Unlock()
-	return s.steps[n](ctx, s.w)
+	return next(ctx, s.w)
 }
 
 // The columns are a kind that may not be repeated with an ID made at ingress and
--- a/forward/unkeyed_test.go
+++ b/forward/unkeyed_test.go
@@ -8,6 +8,7 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/forward"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -92,13 +93,21 @@
 			w.member(wire.Generation(g+2), peerAddr)
 		}
 		w.publish()
-		s := &script{w: w, steps: []step{answered}}
-		f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call), forward.WithAdmission(admission.WithRatio(10)))
+		// A hedge of the first requests may still run when the last one is made,
+		// so that one has a script of its own.
+		usual, last := &script{w: w, steps: []step{answered}}, &script{w: w, steps: []step{hang, answered}}
+		call := func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
+			if req.ID == "last" {
+				return last.call(ctx, to, req)
+			}
+			return usual.call(ctx, to, req)
+		}
+		f := forward.NewForwarder(w.own, nil, forward.WithCall(call), forward.WithAdmission(admission.WithRatio(10)))
 		for range 150 {
 			f.Route(context.Background(), w.kind(c.kind), w.request(w.kind(c.kind), true))
 		}
-		s.tries, s.steps = nil, []step{hang, answered}
 		req := w.request(w.kind(c.kind), true)
+		req.ID = "last"
 		req.Wait = 500 * time.Millisecond
 		if got := f.Route(context.Background(), w.kind(c.kind), req); got.Outcome != c.want {
 			t.Errorf("%s: %+v", c.kind, got)
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -157,8 +157,11 @@
 	}
 	closed := netip.MustParseAddrPort(l.Addr().String())
 	_ = l.Close()
-	var accepted atomic.Int32
-	open := scripted(t, func(int, net.Conn) { accepted.Add(1) })
+	var received atomic.Int32
+	open := scripted(t, func(_ int, c net.Conn) {
+		n, _ := c.Read(make([]byte, 1))
+		received.Add(int32(n))
+	})
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	cases := []struct {
@@ -191,6 +194,9 @@
 			}
 		})
 	}
+	if n := received.Load(); n != 0 {
+		t.Errorf("the target received %d bytes of requests that did not run", n)
+	}
 }
 
 // TestIdleClosed has a server that answers once on each connection and then
