Let what runs at the last daemon end when all others leave

And a daemon that stays kept a witness that had left until it closed, so that a leave with three or four daemons took all of the 5 s.

Change: a daemon whose witnesses have all left and that finds no other is forsaken: it admits no keyed request (alone), waits for those that run, and then names no witness, which frees those who left. They wait 20 s at most, also for witnesses of whom they wait for. One that has left is replaced at once if there is another.

Ruled out: dropping whoever leaves also where the dropper leaves itself; then all four leaving cut each other off. Waiting longer alone: a leave with four daemons would take that long.

TestModelCatches unchanged.

--- a/control/core.go
+++ b/control/core.go
@@ -124,8 +124,11 @@
 	return c.holder.Until()
 }
 
-// Alone tells whether there is no witness, so that there can be no lease.
-func (c *Core) Alone() bool { return c.joined && len(c.self.Witnesses) == 0 }
+// Alone tells whether there is no witness, or none that stays, so that no keyed
+// request may begin.
+func (c *Core) Alone() bool {
+	return c.joined && (len(c.self.Witnesses) == 0 || c.forsaken)
+}
 
 // Self returns the own row as last known.
 func (c *Core) Self() wire.Member { return c.self }
@@ -174,6 +177,8 @@
 		c.runHot(now)
 	case Drained:
 		c.drained = true
+	case Forsaken:
+		c.released = c.forsaken && m.Turn == c.turn
 	}
 	return c.effects
 }
--- a/control/effect.go
+++ b/control/effect.go
@@ -101,6 +101,10 @@
 // Drain stops admission and waits for running requests; Drained ends it.
 type Drain struct{}
 
+// Forsake stops admission of keyed requests, since no witness will be left for
+// their lease, and waits for those that run; Forsaken ends it.
+type Forsake struct{ Turn int }
+
 // Closed says that this generation is ended and must serve nothing.
 type Closed struct{ Reason string }
 
@@ -120,4 +124,5 @@
 func (Probe) effect()         {}
 func (Reload) effect()        {}
 func (Drain) effect()         {}
+func (Forsake) effect()       {}
 func (Empty) effect()         {}
--- a/control/message.go
+++ b/control/message.go
@@ -109,6 +109,9 @@
 // Drained says that no request runs at a leaving daemon any more.
 type Drained struct{}
 
+// Forsaken says that no keyed request runs here since the Forsake of that turn.
+type Forsaken struct{ Turn int }
+
 func (Tick) message()            {}
 func (Heartbeat) message()       {}
 func (RowsArrived) message()     {}
@@ -126,3 +129,4 @@
 func (HotFound) message()        {}
 func (HotCooled) message()       {}
 func (Drained) message()         {}
+func (Forsaken) message()        {}
--- a/control/process_test.go
+++ b/control/process_test.go
@@ -295,6 +295,8 @@
 		p.load(func(rows []wire.Row) control.Message { return control.RowsArrived{Rows: rows} })
 	case control.Drain:
 		p.w.after(p.w.between(0, 100*time.Millisecond), func() { p.post(control.Drained{}) })
+	case control.Forsake:
+		p.w.after(p.w.between(0, 100*time.Millisecond), func() { p.post(control.Forsaken(e)) })
 	case control.Closed, control.Empty:
 		p.end()
 	}
--- a/control/self.go
+++ b/control/self.go
@@ -24,7 +24,7 @@
 
 // witnessPatience is how long a daemon whose own work is done stays for those
 // who have it as a witness.
-const witnessPatience = 5 * time.Second
+const witnessPatience = 20 * time.Second
 
 // ownRow is what a Core knows of its own row.
 type ownRow struct {
@@ -45,6 +45,12 @@
 	drained  bool
 	// leftSince is when the own work of a leaving daemon was done.
 	leftSince time.Time
+	// forsaken is true while all witnesses have left and none can take their
+	// place, turn counts how often that began, and released is true once no keyed
+	// request has run since.
+	forsaken bool
+	turn     int
+	released bool
 	// placedOf is View.Changes when the places of the witnesses were last compared
 	// with those of all members.
 	placedOf uint64
@@ -145,6 +151,7 @@
 			return
 		}
 	}
+	c.watchForsaken()
 	if want, why := c.wantWitnesses(now); why != "" {
 		next := c.self
 		next.Witnesses = want
@@ -186,15 +193,17 @@
 }
 
 // wantWitnesses returns a better set of witnesses and why; no reason means that
-// the present set is to stay.
+// the present set is to stay. One that has left waits only for those who name it,
+// so that it is dropped also if none can take its place; but if self leaves too,
+// all may be leaving and need one another.
 func (c *Core) wantWitnesses(now time.Time) (want []wire.Generation, why string) {
 	c.noteSilent(now)
 	var keep []wire.Generation
-	closed := 0
+	gone := 0
 	for _, g := range c.self.Witnesses {
 		m := c.view.Member(g)
-		if m == nil || m.State == wire.StateClosed {
-			closed++
+		if m == nil || m.State == wire.StateClosed || m.State == wire.StateLeft && c.leaving == "" {
+			gone++
 		} else if c.mayWitness(m) {
 			keep = append(keep, g)
 		}
@@ -204,9 +213,10 @@
 	}
 	want = lease.Choose(c.self, c.witnessCandidates(), keep)
 	switch {
-	case len(want) < len(c.self.Witnesses)-closed:
+	case len(want) < len(c.self.Witnesses)-gone, len(want) == 0 && c.haveLeft() && !c.released:
 		// One that is merely silent stays until there is another in its place:
-		// without witnesses, nobody could tell that this daemon is lost.
+		// without witnesses, nobody could tell that this daemon is lost. Those
+		// that have left stay until no request needs the lease.
 		return nil, ""
 	case len(keep) < len(c.self.Witnesses) && !slices.Equal(want, c.self.Witnesses):
 		return want, "a witness is gone"
@@ -219,6 +229,36 @@
 	}
 }
 
+// watchForsaken notices when no witness stays: the requests that run must end
+// while those that have left still answer.
+func (c *Core) watchForsaken() {
+	before := c.forsaken
+	c.forsaken = c.leaving == "" && c.haveLeft() && len(c.witnessCandidates()) == 0
+	if c.forsaken == before {
+		return
+	}
+	c.released = false
+	if c.forsaken {
+		c.turn++
+		c.emit(Forsake{Turn: c.turn})
+	}
+}
+
+// haveLeft tells whether all witnesses that are still there have left.
+func (c *Core) haveLeft() bool {
+	left := 0
+	for _, g := range c.self.Witnesses {
+		switch m := c.view.Member(g); {
+		case m == nil || m.State == wire.StateClosed:
+		case m.State == wire.StateLeft:
+			left++
+		default:
+			return false
+		}
+	}
+	return left > 0
+}
+
 // wellPlaced tells whether no other members could be witnesses in more failure
 // domains, or whether that has been looked into since members last changed.
 func (c *Core) wellPlaced(witnesses []wire.Generation) bool {
@@ -288,9 +328,27 @@
 	if now.Sub(c.leftSince) > witnessPatience {
 		return false
 	}
-	return slices.ContainsFunc(c.view.Members(), func(m *routes.MemberRow) bool {
-		return c.isOther(m) && m.State != wire.StateLeft && slices.Contains(m.Witnesses, c.self.Generation)
-	})
+	needed := make(map[wire.Generation]bool)
+	for _, m := range c.view.Members() {
+		if c.isOther(m) && m.State != wire.StateLeft {
+			c.need(needed, m)
+		}
+	}
+	return needed[c.self.Generation]
+}
+
+// need adds the witnesses of m and, since a witness answers for others only while
+// its own answer, those of the ones that have left.
+func (c *Core) need(needed map[wire.Generation]bool, m *routes.MemberRow) {
+	for _, g := range m.Witnesses {
+		if needed[g] {
+			continue
+		}
+		needed[g] = true
+		if w := c.view.Member(g); w != nil && w.State == wire.StateLeft {
+			c.need(needed, w)
+		}
+	}
 }
 
 func (c *Core) owned() int {
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// carryOutPublished does what must wait until traffic sees the new standing.
+func (i *incarnation) carryOutPublished(e control.Effect) {
+	switch e := e.(type) {
+	case control.MoveEnd:
+		i.endMove(e)
+	case control.Forsake:
+		i.spawn(func(ctx context.Context) { i.forsake(ctx, e) })
+	}
+}
+
 func (i *incarnation) askVote(ctx context.Context, e control.AskVote) {
 	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
 	defer cancel()
@@ -163,10 +173,24 @@
 // drain waits until nothing runs here, while nothing more is admitted.
 func (i *incarnation) drain(ctx context.Context) {
 	i.d.gate.Close()
-	for i.d.gate.Stats().InFlight > 0 {
+	if idle(ctx, func() bool { return i.d.gate.Stats().InFlight == 0 }) {
+		i.post(ctx, control.Drained{})
+	}
+}
+
+// forsake waits until no keyed request runs here, while none is admitted.
+func (i *incarnation) forsake(ctx context.Context, e control.Forsake) {
+	if idle(ctx, func() bool { return i.d.server.RunningKeyed() == 0 }) {
+		i.post(ctx, control.Forsaken(e))
+	}
+}
+
+// idle waits until done returns true; it returns false if ctx ends first.
+func idle(ctx context.Context, done func() bool) bool {
+	for !done() {
 		if platform.Sleep(ctx, drainPoll) != nil {
-			return
+			return false
 		}
 	}
-	i.post(ctx, control.Drained{})
+	return true
 }
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -170,9 +170,7 @@
 	}
 	i.publish()
 	for _, e := range effects {
-		if end, ok := e.(control.MoveEnd); ok {
-			i.endMove(end)
-		}
+		i.carryOutPublished(e)
 	}
 	i.watchLease()
 }
--- a/owner/server.go
+++ b/owner/server.go
@@ -23,8 +23,8 @@
 	ReasonKind = "kind"
 	// ReasonTimeout says that the wait of the kind ran out.
 	ReasonTimeout = "timeout"
-	// ReasonAlone says that the owner has no other daemon as a witness, so that it
-	// may not serve keys.
+	// ReasonAlone says that the owner has no other daemon as a witness, or none
+	// that stays, so that it may not serve keys.
 	ReasonAlone = "alone"
 	// ReasonMoving says that the key changed hands for as long as the caller
 	// could wait.
@@ -50,6 +50,7 @@
 	standing      atomic.Pointer[Standing]
 	lease         *leaseClock
 	running       atomic.Int64
+	runningKeyed  atomic.Int64
 	refuseUnkeyed atomic.Bool
 }
 
@@ -103,6 +104,9 @@
 // Running returns how many requests are being served here.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
+// RunningKeyed returns how many requests of keyed kinds are being served here.
+func (s *Server) RunningKeyed() int { return int(s.runningKeyed.Load()) }
+
 // CheckFence tells whether a request may go to the target right now. It is the
 // check of target.WithCheck.
 func (s *Server) CheckFence(f target.Fence) error {
@@ -152,16 +156,18 @@
 
 // serveKeyed enters the unit of the key, waiting while it changes hands.
 func (s *Server) serveKeyed(ctx context.Context, req *wire.Request, kind *config.Kind) *wire.Response {
+	s.runningKeyed.Add(1)
+	defer s.runningKeyed.Add(-1)
 	for {
 		standing := s.standing.Load()
 		route, ok := standing.Snapshot.Lookup(req.Service, req.Key)
 		if !owns(standing, route, ok) {
 			return wire.Misrouted()
 		}
+		if standing.Alone {
+			return unheard(req, kind, ReasonAlone)
+		}
 		if !s.lease.valid() {
-			if standing.Alone {
-				return unheard(req, kind, ReasonAlone)
-			}
 			return wire.Misrouted()
 		}
 		unit := unitOf(req, route)
--- a/owner/standing.go
+++ b/owner/standing.go
@@ -20,7 +20,8 @@
 	Snapshot   *routes.Snapshot
 	// Table is nil before the first configuration is in force.
 	Table *config.Table
-	// Alone is true if there is no other daemon that could be a witness.
+	// Alone is true if there is no other daemon that could be a witness, or none
+	// that stays. No keyed request may begin; those that run may end.
 	Alone bool
 	// Closing is true once no more work may be admitted here.
 	Closing bool
