Take one witness from another region where a region has two domains

Cause: with two failure domains in a region, two of a daemon's three witnesses were in the other one. If that was lost, all leases of the living domain ended with it, and its heirs could take nothing over meanwhile.

Change: the third witness is one in another region, but never two, which a cut between regions would turn into lost leases. Sets are compared by a rating of their places, so that witnesses in far places are replaced as nearer ones join; before, a daemon that started beside none of its region kept two far ones for good, and lost its lease in a cut (TestRegionsCut found it). A region whose witness was silent is not chosen for a minute.

Ruled out: two witnesses inside (the loss of the domain gets no two votes); trying the next far one when one is silent (each daemon would write every 2 s in a cut of minutes).

--- a/control/model_test.go
+++ b/control/model_test.go
@@ -131,22 +131,27 @@
 func TestLoss(t *testing.T) {
 	for _, tc := range []struct {
 		name string
+		far  bool
 		lose func(w *world) func(p *process) bool
 	}{
-		{"one daemon", func(w *world) func(p *process) bool {
+		{"one daemon", false, func(w *world) func(p *process) bool {
 			i := w.rng.IntN(len(w.procs))
 			return func(p *process) bool { return p.index == i }
 		}},
-		{"one failure domain of three", func(w *world) func(p *process) bool {
+		{"one failure domain of three", false, func(w *world) func(p *process) bool {
 			domain := w.domain(w.rng.IntN(3))
 			return func(p *process) bool { return p.self.Domain == domain }
 		}},
+		{"one failure domain of a region's two", true, func(w *world) func(p *process) bool {
+			domain := w.domain(w.rng.IntN(2))
+			return func(p *process) bool { return p.self.Domain == domain }
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var took []time.Duration
 			for seed := int64(1); seed <= int64(*losses); seed++ {
-				w := quiet(seed, 9, control.Faults{})
-				w.until(w.now + w.between(0, time.Second))
+				w := newWorld(setup{seed: seed, daemons: 9, domains: 3, far: tc.far, quiet: true})
+				w.until(8*time.Second + w.between(0, time.Second))
 				lost := tc.lose(w)
 				if *trace == seed {
 					w.trace = func(format string, args ...any) { fmt.Printf("%v "+format+"\n", append([]any{w.now}, args...)...) }
@@ -162,6 +167,45 @@
 	}
 }
 
+// TestRegionsCut has a region of two failure domains lose the other one: each
+// goes on, with few writes, and has a witness there again afterwards.
+func TestRegionsCut(t *testing.T) {
+	const daemons, cut, after = 9, 2 * time.Minute, 70 * time.Second
+	w := newWorld(setup{seed: 1, daemons: daemons, domains: 3, far: true, quiet: true})
+	w.until(8 * time.Second)
+	far := func() (n int) {
+		for _, p := range w.living() {
+			for _, g := range p.core.Self().Witnesses {
+				if m := w.view().Member(g); m != nil && p.self.Region == "r" && m.Region != "r" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	before := far()
+	writes := w.stats.Writes
+	for i := range daemons {
+		for j := range daemons {
+			w.cut[[2]int{i, j}] = w.region(i) != w.region(j)
+		}
+	}
+	for end := w.now + cut; w.now < end; w.until(w.now + 50*time.Millisecond) {
+		if !w.settled() {
+			t.Fatalf("after %v: %s", w.now, w.unsettled())
+		}
+	}
+	t.Logf("%d writes by %d daemons in %v", w.stats.Writes-writes, daemons, cut)
+	if most := daemons * 2 * int(cut/time.Minute+1); w.stats.Writes-writes > most {
+		t.Errorf("%d writes in the cut, more than %d", w.stats.Writes-writes, most)
+	}
+	clear(w.cut)
+	w.until(w.now + after)
+	if w.stats.Takeovers != 0 || w.violation != "" || !w.settled() || far() != before || before != 6 {
+		t.Errorf("%d takeovers, %s, %d witnesses in the other region before, %d after", w.stats.Takeovers, w.violation, before, far())
+	}
+}
+
 // TestChurn counts the slots that change hands when daemons come and go.
 func TestChurn(t *testing.T) {
 	owners := func(w *world) map[uint32]string {
--- a/control/process_test.go
+++ b/control/process_test.go
@@ -59,7 +59,7 @@
 		w: w, index: index,
 		self: wire.Member{
 			Instance: fmt.Sprint(index), Generation: g, Service: serviceName,
-			Region: "r", Domain: w.domain(index), Peer: addrOf(index),
+			Region: w.region(index), Domain: w.domain(index), Peer: addrOf(index),
 		},
 		rate: 0.98 + 0.04*w.rng.Float64(),
 		held: make(map[uint32]held), frozen: make(map[uint32]bool),
--- a/control/self.go
+++ b/control/self.go
@@ -22,6 +22,10 @@
 // avoidSilent is how long one that did not answer is not chosen as a witness.
 const avoidSilent = 10 * time.Second
 
+// avoidRegion is how long no witness is chosen in another region after one there
+// did not answer.
+const avoidRegion = time.Minute
+
 // witnessPatience is how long a daemon whose own work is done stays for those
 // who have it as a witness.
 const witnessPatience = 20 * time.Second
@@ -178,17 +182,33 @@
 }
 
 func (c *Core) mayWitness(m *routes.MemberRow) bool {
+	if m.State != wire.StateActive || m.Instance == c.self.Instance {
+		return false
+	}
 	_, silent := c.silent[m.Generation]
-	return m.State == wire.StateActive && m.Instance != c.self.Instance && !silent
+	_, cut := c.silentRegions[m.Region]
+	return !silent && !cut
 }
 
-// noteSilent remembers for a while which witnesses did not answer.
+// noteSilent remembers for a while which witnesses did not answer, and in which
+// other regions they are: if regions have lost each other, the next one there
+// would not answer either.
 func (c *Core) noteSilent(now time.Time) {
+	before := len(c.silent) + len(c.silentRegions)
 	maps.DeleteFunc(c.silent, func(_ wire.Generation, since time.Time) bool {
 		return now.Sub(since) > avoidSilent
 	})
+	maps.DeleteFunc(c.silentRegions, func(_ string, since time.Time) bool {
+		return now.Sub(since) > avoidRegion
+	})
+	if len(c.silent)+len(c.silentRegions) < before {
+		c.placedOf = 0
+	}
 	for _, g := range c.holder.Silent(now) {
 		c.silent[g] = now
+		if m := c.view.Member(g); m != nil && m.Region != c.self.Region {
+			c.silentRegions[m.Region] = now
+		}
 	}
 }
 
@@ -212,7 +232,10 @@
 		return nil, ""
 	}
 	want = lease.Choose(c.self, c.witnessCandidates(), keep)
+	better := c.placement(want) > c.placement(c.self.Witnesses)
 	switch {
+	case better && len(want) > 1:
+		return want, "witnesses in better places are there"
 	case len(want) < len(c.self.Witnesses)-gone, len(want) == 0 && c.haveLeft() && !c.released:
 		// One that is merely silent stays until there is another in its place:
 		// without witnesses, nobody could tell that this daemon is lost. Those
@@ -220,8 +243,8 @@
 		return nil, ""
 	case len(keep) < len(c.self.Witnesses) && !slices.Equal(want, c.self.Witnesses):
 		return want, "a witness is gone"
-	case c.otherDomains(want) > c.otherDomains(c.self.Witnesses):
-		return want, "witnesses in more failure domains are there"
+	case better:
+		return want, "witnesses in better places are there"
 	case len(want) > len(c.self.Witnesses):
 		return want, "more witnesses are there"
 	default:
@@ -259,36 +282,36 @@
 	return left > 0
 }
 
-// wellPlaced tells whether no other members could be witnesses in more failure
-// domains, or whether that has been looked into since members last changed.
+// wellPlaced tells whether no other members could be better placed witnesses, or
+// whether that has been looked into since members last changed.
 func (c *Core) wellPlaced(witnesses []wire.Generation) bool {
 	if c.placedOf == c.view.Changes() {
 		return true
 	}
 	c.placedOf = c.view.Changes()
-	var domains []string
+	// One member stands for all of its failure domain, or of another region.
+	var places []wire.Member
 	for _, m := range c.view.Members() {
-		if c.isOther(m) && c.isElsewhere(m) && !slices.Contains(domains, m.Domain) {
-			domains = append(domains, m.Domain)
+		if c.mayWitness(m) && !slices.ContainsFunc(places, func(p wire.Member) bool { return c.samePlace(p, m.Member) }) {
+			places = append(places, m.Member)
 		}
 	}
-	return c.otherDomains(witnesses) >= min(len(domains), lease.MaxWitnesses)
+	return c.placement(witnesses) >= c.placement(lease.Choose(c.self, places, nil))
 }
 
-func (c *Core) isElsewhere(m *routes.MemberRow) bool {
-	return m.Region == c.self.Region && m.Domain != c.self.Domain
+func (c *Core) samePlace(a, b wire.Member) bool {
+	return a.Region == b.Region && (a.Domain == b.Domain || a.Region != c.self.Region)
 }
 
-// otherDomains counts the failure domains of the region, without the own, that
-// the given members are in.
-func (c *Core) otherDomains(members []wire.Generation) int {
-	var domains []string
-	for _, g := range members {
-		if m := c.view.Member(g); m != nil && c.isElsewhere(m) && !slices.Contains(domains, m.Domain) {
-			domains = append(domains, m.Domain)
+// placement rates witnesses by their places.
+func (c *Core) placement(witnesses []wire.Generation) int {
+	members := make([]wire.Member, 0, len(witnesses))
+	for _, g := range witnesses {
+		if m := c.view.Member(g); m != nil {
+			members = append(members, m.Member)
 		}
 	}
-	return len(domains)
+	return lease.Placement(c.self, members)
 }
 
 // keepLeaving takes a planned leave to its end.
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -38,6 +38,7 @@
 	seed     int64
 	daemons  int
 	domains  int
+	far      bool // the last domain is in another region
 	quiet    bool // no random faults
 	core     control.Faults
 	lease    lease.Faults
@@ -381,6 +382,13 @@
 
 func (w *world) domain(i int) string { return string(rune('a' + i%w.domains)) }
 
+func (w *world) region(i int) string {
+	if w.far && i%w.domains == w.domains-1 {
+		return "s"
+	}
+	return "r"
+}
+
 // start puts a new generation at an address.
 func (w *world) start(i int) {
 	w.number++
--- a/lease/choose.go
+++ b/lease/choose.go
@@ -16,12 +16,17 @@
 
 // The places of a candidate's failure domain, best first. The own domain comes
 // before a second witness in another one, so that the loss of one of three
-// domains neither ends a living lease nor prevents a takeover.
+// domains neither ends a living lease nor prevents a takeover. One witness in
+// another region stands in for the third domain; a second one would end the lease
+// when regions lose each other.
 const (
 	placeFresh = iota
 	placeOwn
+	placeFar
 	placeUsed
 	placeOwnUsed
+	placeFarAgain
+	placeFarUsed
 )
 
 // candidate is a member that may become a witness.
@@ -33,9 +38,10 @@
 }
 
 // Choose returns up to three witnesses for self: active members of its region
-// in different failure domains where there are any, and of other regions only
-// if its own has fewer than two candidates. The choice is spread over members
-// by rendezvous hashing; among equals, members of keep stay.
+// in different failure domains where there are any. Of other regions there is one
+// if its own region has just one other domain, and more only if it has fewer than
+// two candidates. The choice is spread over members by rendezvous hashing; among
+// equals, members of keep stay.
 func Choose(self wire.Member, members []wire.Member, keep []wire.Generation) []wire.Generation {
 	rest := candidates(self, members, keep)
 	var used []wire.Member
@@ -70,12 +76,29 @@
 			far = append(far, c)
 		}
 	}
-	if len(near) >= minInRegion {
+	if len(near) >= minInRegion && otherDomains(self, near) != 1 {
 		return near
 	}
 	return append(near, far...)
 }
 
+// otherDomains counts the failure domains of candidates of the own region, but
+// for the own one. It looks no further than two.
+func otherDomains(self wire.Member, near []candidate) int {
+	var first wire.Member
+	count := 0
+	for _, c := range near {
+		if sameDomain(self, c.member) || count > 0 && sameDomain(first, c.member) {
+			continue
+		}
+		if count++; count > 1 {
+			break
+		}
+		first = c.member
+	}
+	return count
+}
+
 // best returns the index of the candidate to choose next.
 func best(self wire.Member, rest []candidate) int {
 	at := 0
@@ -90,7 +113,6 @@
 // compare orders candidates, best first.
 func compare(self wire.Member, a, b candidate) int {
 	return cmp.Or(
-		falseFirst(a.member.Region != self.Region, b.member.Region != self.Region),
 		cmp.Compare(a.place, b.place),
 		falseFirst(!a.kept, !b.kept),
 		cmp.Compare(b.score, a.score),
@@ -112,6 +134,9 @@
 // place tells how the member's failure domain relates to self's and to those
 // of the witnesses chosen so far.
 func place(self, m wire.Member, used []wire.Member) int {
+	if m.Region != self.Region {
+		return farPlace(self, m, used)
+	}
 	own := sameDomain(self, m)
 	taken := slices.ContainsFunc(used, func(u wire.Member) bool { return sameDomain(u, m) })
 	switch {
@@ -126,6 +151,42 @@
 	}
 }
 
+func farPlace(self, m wire.Member, used []wire.Member) int {
+	switch {
+	case slices.ContainsFunc(used, func(u wire.Member) bool { return sameDomain(u, m) }):
+		return placeFarUsed
+	case slices.ContainsFunc(used, func(u wire.Member) bool { return u.Region != self.Region }):
+		return placeFarAgain
+	default:
+		return placeFar
+	}
+}
+
+// Placement rates where witnesses of self are: the more failure domains of its
+// region there are besides its own, the better. One witness in another region is
+// better than none, and more are worse, since they end the lease when regions lose
+// each other.
+func Placement(self wire.Member, witnesses []wire.Member) int {
+	rating, far := 0, 0
+	for i, w := range witnesses {
+		switch {
+		case w.Region != self.Region:
+			far++
+		case sameDomain(self, w):
+		case !slices.ContainsFunc(witnesses[:i], func(u wire.Member) bool { return sameDomain(u, w) }):
+			rating += 2
+		}
+	}
+	switch far {
+	case 0:
+	case 1:
+		rating++
+	default:
+		rating -= 2 * far
+	}
+	return rating
+}
+
 func sameDomain(a, b wire.Member) bool {
 	return a.Region == b.Region && a.Domain == b.Domain
 }
