Choose witnesses of a silent region if there are too few others

Now the region is barred only where two candidates of the own region are left.

TestLoss and TestRegionsCut are unchanged.

--- a/control/self.go
+++ b/control/self.go
@@ -172,13 +172,23 @@
 			latest[m.Peer] = m
 		}
 	}
-	var out []wire.Member
+	var near, far []wire.Member
 	for _, m := range c.view.Members() {
-		if latest[m.Peer] == m && c.mayWitness(m) {
-			out = append(out, m.Member)
+		switch {
+		case latest[m.Peer] != m || !c.mayWitness(m):
+		case m.Region == c.self.Region:
+			near = append(near, m.Member)
+		default:
+			far = append(far, m.Member)
 		}
 	}
-	return out
+	if len(near) >= lease.MinInRegion {
+		far = slices.DeleteFunc(far, func(m wire.Member) bool {
+			_, silent := c.silentRegions[m.Region]
+			return silent
+		})
+	}
+	return append(near, far...)
 }
 
 func (c *Core) mayWitness(m *routes.MemberRow) bool {
@@ -186,8 +196,7 @@
 		return false
 	}
 	_, silent := c.silent[m.Generation]
-	_, cut := c.silentRegions[m.Region]
-	return !silent && !cut
+	return !silent
 }
 
 // noteSilent remembers for a while which witnesses did not answer, and in which
@@ -291,9 +300,9 @@
 	c.placedOf = c.view.Changes()
 	// One member stands for all of its failure domain, or of another region.
 	var places []wire.Member
-	for _, m := range c.view.Members() {
-		if c.mayWitness(m) && !slices.ContainsFunc(places, func(p wire.Member) bool { return c.samePlace(p, m.Member) }) {
-			places = append(places, m.Member)
+	for _, m := range c.witnessCandidates() {
+		if !slices.ContainsFunc(places, func(p wire.Member) bool { return c.samePlace(p, m) }) {
+			places = append(places, m)
 		}
 	}
 	return c.placement(witnesses) >= c.placement(lease.Choose(c.self, places, nil))
--- a/lease/choose.go
+++ b/lease/choose.go
@@ -10,9 +10,9 @@
 	"fulmarrun/wire"
 )
 
-// minInRegion is the number of candidates in its own region from which on a
-// member takes no witnesses from other regions.
-const minInRegion = 2
+// MinInRegion is the number of candidates in its own region from which on a
+// member can do without witnesses from other regions.
+const MinInRegion = 2
 
 // The places of a candidate's failure domain, best first. The own domain comes
 // before a second witness in another one, so that the loss of one of three
@@ -76,7 +76,7 @@
 			far = append(far, c)
 		}
 	}
-	if len(near) >= minInRegion && otherDomains(self, near) != 1 {
+	if len(near) >= MinInRegion && otherDomains(self, near) != 1 {
 		return near
 	}
 	return append(near, far...)
