Learn the pace of a slower target from 4 answers

Cause: a target that becomes 200 ms slower while it bears 20 at once was learnt in three rounds at a limit of 2, and the limit then rose in rounds of 9. Startup ended at 9, since of a bunch that begins at once few find the target full, and a probe at half of the limit followed, as every 5 s, although answers that hardly vary need none. In the meantime requests waited until they had no time left. A trace of the limit in the simulation showed each.

Now 4 answers at the start limit that are all far too slow are the pace (more if they vary); rounds in startup and the need for a probe go by the variation too; a slow round of which a quarter ran out of its time halves the limit. A pace that is far too long is given up as soon as a round shows it: before, a target that was slow for 2 s got up to 20 where it bears 4 from then on.

Ruled out: counting what ran out of time with its age (no gain). Left: answers that vary exponentially are learnt no better than before.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -18,6 +18,8 @@
 	// confidence is the number of standard errors between a bucket's mean and
 	// what counts as the baseline.
 	confidence = 1.5
+	// certainty is the number of standard errors by which a mean is surely off.
+	certainty = 3
 	// outweighed is how many times the samples of a bucket another must hold to
 	// set it aside.
 	outweighed = 4
@@ -138,15 +140,34 @@
 	return b.least
 }
 
+// near returns the greatest mean of so many latencies that is near the
+// baseline, with so many standard errors for chance.
+func (b *Baseline) near(samples int, errors float64) float64 {
+	share := errors * b.variation / math.Sqrt(float64(samples))
+	return float64(b.mean) * (nearness + share)
+}
+
+// half returns the mean of so many latencies under which the baseline is surely
+// at least twice too long.
+func (b *Baseline) half(samples int) float64 {
+	share := certainty * b.variation / math.Sqrt(float64(samples))
+	return float64(b.mean) / 2 * max(0, 1-share)
+}
+
 // Stale reports whether the baseline is older than its window and should be
 // measured anew.
 func (b *Baseline) Stale(now time.Time) bool {
 	return b.best.count > 0 && now.Sub(b.best.at) > bucketTTL
 }
 
-// Thin reports whether the baseline rests on few samples.
+// Thin reports whether the baseline rests on few samples for their variation.
 func (b *Baseline) Thin() bool {
-	return b.best.count < bucketMax
+	best := &b.best.sample
+	if best.count == 0 {
+		best = &b.open
+	}
+	variation := best.variation()
+	return float64(best.count) < max(bucketMax*variation*variation, paceMin)
 }
 
 // Reset forgets everything.
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// defaultStart is the limit of a target of which nothing is known.
@@ -23,19 +20,23 @@
 	// patienceTime is how long fewer slow rounds at the start limit last after
 	// which a baseline is given up too.
 	patienceTime = time.Second
-	// paceMin is the least number of answers from which a new baseline is taken
-	// at once.
-	paceMin = 6
-	// startupRound is the number of requests in a round during startup.
-	startupRound = 9
+	// paceMin is the least number of answers that make a new baseline at once.
+	paceMin = 4
+	// precision is the standard error, as a share of the mean, at which a mean
+	// rests on enough latencies.
+	precision = 0.1
+	// preciseMax is the number of latencies that are enough at any variation.
+	preciseMax = 9
+	// startupMin is the least number of requests in a round during startup.
+	startupMin = 2
+	// lateShare is the part of a slow round that ran out of its time, as a
+	// divisor, at which the limit is halved.
+	lateShare = 4
 	// startupShare is the part of the limit that it grows by during startup, as
 	// a divisor.
 	startupShare = 2
 	// startupStep is the most that startupShare adds to a limit.
 	startupStep = 3
-	// startupFull is the number of requests in a round that must find the target
-	// full, or else startup is over. The others may fill it up after a step.
-	startupFull = startupRound - startupStep
 	// probeTime is how long a probe of the baseline lasts at most, if bucketMin
 	// requests began in it.
 	probeTime = time.Second
@@ -104,11 +105,16 @@
 	// answers of the others; the first may hold some from before the change.
 	slowSince time.Time
 	pace      sample
+	// slower sums up the latest answers at the start limit as long as all are
+	// far too slow.
+	slower sample
 	// startup is true from when the target's own pace was learnt anew until a
 	// round is slow or the target not full.
 	startup bool
 
 	baseline Baseline
+	// former is the baseline before the last pace that was learnt.
+	former Baseline
 	// restore is the limit to return to after a probe of the baseline; zero
 	// if none runs.
 	restore  int
@@ -206,12 +212,18 @@
 		if b.light {
 			l.baseline.Add(c.Latency, now)
 		}
-		if member && l.limit <= l.start {
+		if member {
 			l.round.answers.add(float64(c.Latency))
 		}
+		if b.epoch == l.epoch && l.outpacing(c.Latency, b.full, now) {
+			return
+		}
 	}
 	if member {
 		l.round.end(b.offset, c.Latency)
+		if c.Result == Cancelled {
+			l.round.late++
+		}
 	}
 	l.check(now)
 }
@@ -235,11 +247,9 @@
 	return l.baseline.Mean() > 0
 }
 
-// near returns the greatest mean of so many latencies that is near the
-// baseline, with so many standard errors for chance.
+// near is Baseline.near of the current baseline.
 func (l *Limiter) near(samples int, errors float64) float64 {
-	share := errors * l.baseline.Variation() / math.Sqrt(float64(samples))
-	return float64(l.baseline.Mean()) * (nearness + share)
+	return l.baseline.near(samples, errors)
 }
 
 func (l *Limiter) roundSize() int {
@@ -247,7 +257,7 @@
 		return max(bucketSize, l.limit)
 	}
 	if l.startup {
-		return startupRound
+		return precise(l.baseline.Variation(), startupMin)
 	}
 	return max(roundMin, 2*l.limit)
 }
@@ -262,23 +272,25 @@
 		l.endProbe(now)
 		return
 	}
-	l.startup = l.startup && ended.full >= startupFull && mean <= near
+	l.startup = l.startup && ended.filled && mean <= near
 	if l.known() && mean > coldFactor*near {
 		l.proven = 0
 	}
 	switch {
 	case !l.known():
+	case mean < l.baseline.half(ended.begun):
+		l.quicker(&ended, mean, now)
 	case l.limit <= l.start && (mean > cutFactor*near || mean > near && crowded):
 		l.outpaced(&ended, crowded, now)
 	case mean > coldFactor*near:
 		l.slowed(min(l.limit, l.start), now)
-	case mean > cutFactor*near:
+	case mean > cutFactor*near, mean > near && lateShare*ended.late > ended.begun:
 		l.slowed(l.limit/2, now)
 	case mean > near && crowded:
 		l.slowed(l.limit, now)
 	case mean <= l.near(1, 0):
 		l.steady()
-		if crowded {
+		if crowded || l.startup {
 			l.grow(now)
 		}
 	}
@@ -320,17 +332,73 @@
 	if l.slow <= patience && !long {
 		return
 	}
-	l.baseline.begin(l.pace)
+	l.learn(l.pace, crowded, now)
+}
+
+// outpacing takes in an answer. If it is the last of enough at the start limit
+// that were all far too slow, it has their pace learnt and reports true.
+func (l *Limiter) outpacing(latency time.Duration, full bool, now time.Time) bool {
+	if l.limit > l.start || !l.known() {
+		return false
+	}
+	if float64(latency) <= cutFactor*l.near(1, 1) {
+		l.slower = sample{}
+		return false
+	}
+	l.slower.add(float64(latency))
+	if l.slower.count < precise(l.slower.variation(), paceMin) {
+		return false
+	}
+	l.learn(l.slower, full, now)
+	return true
+}
+
+// precise returns the number of latencies of this variation, and at least so
+// many, on which a mean has to rest.
+func precise(variation, least float64) int {
+	needed := variation / precision
+	return int(min(max(needed*needed, least), preciseMax))
+}
+
+// learn takes these answers for the new baseline, and grows at once if the
+// target is full.
+func (l *Limiter) learn(pace sample, full bool, now time.Time) {
+	l.former = l.baseline
+	l.baseline.begin(pace)
 	l.steady()
-	if l.startup = l.known() && crowded; l.startup {
+	l.startup = l.known() && full
+	l.clear(now)
+	if l.startup {
 		l.grow(now)
 	}
 }
 
+// quicker answers a round that was far quicker than the baseline. If the target
+// has its former pace again, the limit stays, but for what grew in startup, by
+// the wrong measure. Else it is halved and the pace learnt from the round.
+func (l *Limiter) quicker(ended *round, mean float64, now time.Time) {
+	limit := l.limit
+	if l.former.Mean() > 0 && mean <= l.former.near(ended.begun, chance) {
+		l.baseline = l.former
+		if l.startup {
+			limit = l.start
+		}
+	} else {
+		if ended.answers.count >= paceMin {
+			l.baseline.begin(ended.answers)
+		}
+		limit = max(limit/2, min(limit, l.start))
+	}
+	l.former.Reset()
+	l.startup = false
+	l.set(limit, now)
+}
+
 // steady forgets slow rounds.
 func (l *Limiter) steady() {
 	l.slow = 0
 	l.pace = sample{}
+	l.slower = sample{}
 }
 
 // slowed lowers the limit after a slow round.
@@ -371,6 +439,7 @@
 	l.proven, l.peak, l.startup = 0, 0, false
 	l.steady()
 	l.baseline.Reset()
+	l.former.Reset()
 	l.set(l.start, now)
 	l.cut = l.epoch
 }
--- a/admission/load_bench_test.go
+++ b/admission/load_bench_test.go
@@ -359,3 +359,45 @@
 		})
 	}
 }
+
+// BenchmarkSlower has a target become slower by 200 ms, and counts the first 10 s.
+func BenchmarkSlower(b *testing.B) {
+	cases := []struct {
+		name   string
+		change change
+	}{
+		{"bears", change{rate: 50, bear: 20, wait: 2 * time.Second}},
+		{"bears-wait-1s", change{rate: 67, bear: 20, wait: time.Second}},
+		{"bears-barely", change{rate: 80, bear: 20, wait: 2 * time.Second}},
+		{"overloaded", change{rate: 100, bear: 4, wait: 2 * time.Second}},
+		{"cold", change{rate: 50, bear: 20, wait: 2 * time.Second, cold: true}},
+		{"for-2s", change{rate: 300, bear: 4, wait: 2 * time.Second, lasts: 2 * time.Second}},
+	}
+	for _, c := range cases {
+		c.change.length = 10 * time.Second
+		b.Run(c.name+"/adaptive", func(b *testing.B) { reportSlower(b, c.change) })
+		b.Run(c.name+"/fixed-20", func(b *testing.B) { reportSlower(b, c.change, admission.WithFixedLimit(20)) })
+	}
+}
+
+// reportSlower takes the runs of 20 seeds together.
+func reportSlower(b *testing.B, c change, opts ...admission.Option) {
+	var all pace
+	for b.Loop() {
+		all = pace{}
+		for seed := range uint64(20) {
+			p := c.run(seed, append([]admission.Option{admission.WithCeiling(20)}, opts...)...)
+			all.asked += p.asked
+			all.served += p.served
+			all.begun += p.begun
+			all.beyond += p.beyond
+			all.waits = append(all.waits, p.waits...)
+		}
+	}
+	b.ReportMetric(100*float64(all.asked-all.served)/float64(all.asked), "%lost")
+	b.ReportMetric(percentile(all.waits, 0.5), "p50-ms")
+	b.ReportMetric(percentile(all.waits, 0.9), "p90-ms")
+	b.ReportMetric(percentile(all.waits, 0.99), "p99-ms")
+	b.ReportMetric(100*float64(all.beyond)/float64(all.begun), "%far-beyond")
+	b.ReportMetric(0, "ns/op")
+}
--- a/admission/round.go
+++ b/admission/round.go
@@ -21,11 +21,17 @@
 	begun   int
 	full    int
 	pending int
+	// filled is true once the target was full, also for requests that began
+	// when the round was complete.
+	filled bool
+	// late is the number that ran out of their time after what is near the
+	// baseline: their true latency is longer.
+	late int
 	// offsets is the sum of the times from origin at which the pending requests
 	// began, in nanoseconds.
 	offsets float64
 	sum     float64
-	// answers sums up the whole answers, if the round is at the start limit.
+	// answers sums up the whole answers.
 	answers sample
 }
 
@@ -37,6 +43,7 @@
 // begin takes a request in, if the round is not complete. It returns when the
 // request began, counted from the round's origin.
 func (r *round) begin(full bool, now time.Time) (offset time.Duration, member bool) {
+	r.filled = r.filled || full
 	if r.begun >= r.size {
 		return 0, false
 	}
