Hedge from 30 answers on, and remember who was ejected

Hedges began after 100 answers, 5 s at 20 a second. Ejection took one slow answer after five quick ones for enough, then forgot what it had measured and sent the next request there.

Now hedges begin after 30 answers, with 1 ms at least before a second try, and an ejected member costs what it did until it answers again or 10 s have passed.

--- a/admission/hedge.go
+++ b/admission/hedge.go
@@ -14,12 +14,15 @@
 	// sent.
 	hedgeQuantile = 95
 	// hedgeMin is the number of latencies without which nothing is hedged.
-	hedgeMin = 100
+	hedgeMin = 30
 	// hedgeWindow is the number of latencies after which older ones go.
 	hedgeWindow = 1000
 	// hedgeRefresh is the number of latencies between two readings of the
 	// percentile.
-	hedgeRefresh = 50
+	hedgeRefresh = 10
+	// hedgeShortest is the shortest time after which a second try is sent. It would
+	// hardly be answered sooner than a first one that takes no longer.
+	hedgeShortest = time.Millisecond
 	// hedgeLongest is the longest latency that is told apart from longer ones.
 	hedgeLongest = time.Minute
 )
@@ -67,7 +70,7 @@
 // refresh reads the percentile from the recent latencies and the ones before.
 func (h *Hedge) refresh() {
 	us := max(h.recent.ValueAtPercentile(hedgeQuantile), h.previous.ValueAtPercentile(hedgeQuantile))
-	h.delay = time.Duration(us) * time.Microsecond
+	h.delay = max(time.Duration(us)*time.Microsecond, hedgeShortest)
 	if h.recent.TotalCount() >= hedgeWindow {
 		h.recent, h.previous = h.previous, h.recent
 		h.recent.Reset()
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -210,13 +210,16 @@
 	return nil
 }
 
-// cost weighs a member: less is better.
+// cost weighs a member: less is better. One that has not answered since it was
+// let in costs no less than what was measured before.
 func (p *Pool) cost(m *member, now time.Time) float64 {
-	latency := m.latency(now)
-	if latency == 0 {
-		latency = p.typical()
+	cost := m.latency(now)
+	if m.answers == 0 || cost == 0 {
+		cost = max(cost, p.typical()/m.ramp(now))
+	} else {
+		cost /= m.ramp(now)
 	}
-	return latency * float64(m.inFlight+1) / m.ramp(now)
+	return cost * float64(m.inFlight+1)
 }
 
 // typical returns the median latency of the members.
@@ -267,14 +270,14 @@
 }
 
 // eject keeps the member out for twice as long as the last time. It returns on
-// probation: it starts slowly and is judged by new answers alone.
+// probation: it starts slowly and is judged by new answers alone. Until the first
+// of them it costs what it did.
 func (m *member) eject(now time.Time) {
 	m.ejections++
 	out := min(ejectTime<<min(m.ejections-1, 10), ejectMax)
 	m.ejectedUntil = now.Add(out)
 	m.letInAt = m.ejectedUntil
 	m.answers, m.failures = 0, 0
-	m.peak, m.mean = 0, 0
 }
 
 // observe takes in how a request ended.
@@ -300,8 +303,8 @@
 }
 
 func (m *member) measure(latency float64, now time.Time) {
-	if m.mean == 0 {
-		m.mean = latency
+	if m.answers == 0 {
+		m.mean, m.peak = latency, latency
 	}
 	m.peak = max(m.decayed(now), latency)
 	m.mean += (latency - m.mean) / 8
