Remove the value of a request from the queue

Nothing but benchmarks set it: the price list names no value, so that the daemon left it at zero. With it go the threshold, the order by value and the choice of the least valued. Where all values are zero nothing changes: of requests that would be late the newest goes, and a full queue refuses.

The fuzzing of the core keeps its tickets but for the value.

--- a/admission/core.go
+++ b/admission/core.go
@@ -34,8 +34,6 @@
 	reserve Reserve
 	urgent  Queue
 	patient Queue
-	// threshold is the least value that may wait as urgent.
-	threshold Threshold
 	// deep counts the nested requests that wait.
 	deep int
 
@@ -132,13 +130,11 @@
 func (c *Core) wait(t Ticket, now time.Time) Decision {
 	queue := c.queueOf(t.Class)
 	w := Waiter{Ticket: t, ID: c.lastID + 1}
-	full := queue.Len() >= c.set.queue
-	if t.Class == Urgent && t.Value < c.threshold.Value(now) {
-		return c.refuse(0, c.refusal(ReasonDeadline, now))
+	if queue.Len() >= c.set.queue {
+		return c.refuse(0, c.refusal(ReasonFull, now))
 	}
-	if (full || c.hopeless(&t, queue.Ahead(&w), now)) && !queue.Worse(t.Value) {
-		c.raise(&w, now)
-		return c.refuse(0, c.refusal(c.cause(full), now))
+	if c.hopeless(&t, queue.Ahead(&w), now) {
+		return c.refuse(0, c.refusal(ReasonDeadline, now))
 	}
 	c.lastID++
 	c.prune = true
@@ -159,13 +155,6 @@
 	return t.missed(now, service)
 }
 
-// raise notes that an urgent request of this value had to go for lack of room.
-func (c *Core) raise(w *Waiter, now time.Time) {
-	if w.Class == Urgent {
-		c.threshold.Raise(w.Value, c.drain(c.urgent.Len()+1, now), now)
-	}
-}
-
 // cutoff returns when a request can no longer make its deadline, even if it
 // were next.
 func (c *Core) cutoff(t *Ticket) time.Time {
@@ -253,9 +242,8 @@
 	if c.closed || c.health.Draining {
 		return c.evict()
 	}
-	full := c.urgent.Len() > c.set.queue || c.patient.Len() > c.set.queue
 	if w, ok := c.expired(now); ok {
-		return c.refuse(w.ID, c.refusal(c.cause(full), now)), true
+		return c.refuse(w.ID, c.refusal(ReasonDeadline, now)), true
 	}
 	if c.paused {
 		return Decision{}, false
@@ -266,14 +254,6 @@
 	return Decision{}, false
 }
 
-// cause returns the reason for which a waiting request has to go.
-func (c *Core) cause(full bool) string {
-	if full {
-		return ReasonFull
-	}
-	return ReasonDeadline
-}
-
 // evict refuses a waiting request because the target goes.
 func (c *Core) evict() (Decision, bool) {
 	reason := ReasonDraining
@@ -305,10 +285,8 @@
 		if c.paused {
 			interval = 0
 		}
-		if id, ok := queue.Surplus(now.Add(c.limiter.Least()), interval, c.set.queue); ok {
-			w, ok := c.remove(id)
-			c.raise(&w, now)
-			return w, ok
+		if id, ok := queue.Surplus(now.Add(c.limiter.Least()), interval); ok {
+			return c.remove(id)
 		}
 	}
 	c.prune = false
--- a/admission/core_test.go
+++ b/admission/core_test.go
@@ -409,7 +409,7 @@
 		}
 	default:
 		l.asked++
-		ticket := admission.Ticket{Class: admission.Class(random.IntN(2)), Depth: uint8(random.IntN(5)), Value: float64(random.IntN(3))}
+		ticket := admission.Ticket{Class: admission.Class(random.IntN(2)), Depth: uint8(random.IntN(5))}
 		if random.IntN(4) > 0 {
 			ticket.Deadline = l.now.Add(time.Duration(random.IntN(200)-5) * time.Millisecond)
 		}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -52,11 +52,6 @@
 	return a.ID > b.ID
 }
 
-// GreatestValue is the Order by value alone, blind to deadlines.
-func GreatestValue(a, b *Waiter) bool {
-	return a.Value > b.Value
-}
-
 // Queue holds waiting requests in an Order.
 type Queue struct {
 	order Order
@@ -109,31 +104,18 @@
 	return Waiter{}, false
 }
 
-// Worse reports whether a request with less value waits.
-func (q *Queue) Worse(value float64) bool {
-	for i := range q.waiters {
-		if q.waiters[i].Value < value {
-			return true
-		}
-	}
-	return false
-}
-
-// Surplus returns the request that has to go if more than size wait or some
-// request would miss its deadline when, from start on, one leaves the queue in
-// each interval: the one with the least value, and of these the newest, up to
-// the first that is late.
-func (q *Queue) Surplus(start time.Time, interval time.Duration, size int) (id uint64, ok bool) {
-	var least *Waiter
+// Surplus returns the request that has to go if some request would miss its
+// deadline when, from start on, one leaves the queue in each interval: the newest
+// up to the first that is late.
+func (q *Queue) Surplus(start time.Time, interval time.Duration) (id uint64, ok bool) {
+	newest := uint64(0)
 	at := start.UnixNano()
 	for i := len(q.waiters) - 1; i >= 0; i-- {
 		w := &q.waiters[i]
-		if least == nil || w.Value < least.Value || (w.Value == least.Value && w.ID > least.ID) {
-			least = w
-		}
+		newest = max(newest, w.ID)
 		at += int64(interval)
-		if at > w.until || len(q.waiters)-i > size {
-			return least.ID, true
+		if at > w.until {
+			return newest, true
 		}
 	}
 	return 0, false
--- a/admission/ticket.go
+++ b/admission/ticket.go
@@ -19,9 +19,6 @@
 	Deadline time.Time
 	// Depth counts the nested calls above this one.
 	Depth uint8
-	// Value is what serving the request is worth. If not all can make their
-	// deadlines, those with the least value are refused.
-	Value float64
 }
 
 // missed reports whether work that takes at least service from now on ends
