Keep plain baselines for ownership as options

There was none for churn, for time without service, and for hot keys.

- handover.PlanModulo, by control.WithPlan and daemon.WithControl: slot i belongs to the i mod n-th eligible member, by instance.
- owner.WithoutWait and forward.WithoutWait, by daemon.WithoutWait: a request for a key that changes hands is refused at once; it is tried once.
- handover.WithoutHot, by daemon.WithHot: no key is set apart.

None is on by default. An order by generation was ruled out, since generations are random and a join would land anywhere; a hash in front of the modulo, since keys are hashed to slots already. Moves that stop admission to all of a member's slots at once are not built: they don't fit this path simply.

What may have run is not told as not run without waiting either (TestKeyedWithoutWait, TestFrozenUnit). The default path is as it was.

--- a/control/core.go
+++ b/control/core.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"fulmarrun/handover"
 	"fulmarrun/lease"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
@@ -64,6 +65,12 @@
 	return func(c *Core) { c.retain = retain }
 }
 
+// WithPlan is a functional option that sets which slots each owner gives away;
+// handover.PlanModulo is the baseline.
+func WithPlan(plan handover.PlanFunc) Option {
+	return func(c *Core) { c.planMoves = plan }
+}
+
 // Core is the control state of one generation. Each part of it stands in the file
 // of what it is for.
 type Core struct {
@@ -72,6 +79,7 @@
 	faults       Faults
 	random       *rand.Rand
 	name         func() string
+	planMoves    handover.PlanFunc
 
 	view *routes.View
 	// config is the configuration in force, and loading the number of the latest
@@ -98,6 +106,7 @@
 func NewCore(self wire.Member, opts ...Option) *Core {
 	c := &Core{
 		retain:        retainClosed,
+		planMoves:     handover.Plan,
 		ownRow:        ownRow{self: self},
 		leaseState:    newLeaseState(),
 		takeoverState: newTakeoverState(),
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fulmarrun/control"
+	"fulmarrun/handover"
 	"fulmarrun/lease"
 	"fulmarrun/routes"
 )
@@ -66,6 +67,19 @@
 	t.Logf("%+v", total)
 }
 
+// TestModelModulo checks that the plan that is a baseline keeps what must hold.
+func TestModelModulo(t *testing.T) {
+	for seed := *from; seed < *from+int64(*seeds)/3; seed++ {
+		s := setupOf(seed)
+		s.plan = handover.PlanModulo
+		w := newWorld(s)
+		if violation := w.run(); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		t.Logf("seed %d: %d moves", seed, w.stats.Moves)
+	}
+}
+
 // TestModelCatches breaks one rule at a time and expects the oracle to notice.
 // The search begins at from, where one that began at one ended.
 func TestModelCatches(t *testing.T) {
--- a/control/move.go
+++ b/control/move.go
@@ -65,7 +65,7 @@
 			c.quietSince = now
 		}
 		c.moved = false
-		c.moves = handover.Plan(snapshot, c.self.Service, c.eligible, c.self.Generation)
+		c.moves = c.planMoves(snapshot, c.self.Service, c.eligible, c.self.Generation)
 		c.planOf, c.planNumber = snapshot, c.config.Number
 	}
 	return c.moves
--- a/control/process_test.go
+++ b/control/process_test.go
@@ -72,6 +72,9 @@
 	if w.retain > 0 {
 		options = append(options, control.WithRetain(w.retain))
 	}
+	if w.plan != nil {
+		options = append(options, control.WithPlan(w.plan))
+	}
 	p.core = control.NewCore(p.self, options...)
 	p.publish()
 	p.load(func(rows []wire.Row) control.Message { return control.Loaded{Rows: rows, Wall: p.wall()} })
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fulmarrun/control"
+	"fulmarrun/handover"
 	"fulmarrun/lease"
 	"fulmarrun/platform"
 	"fulmarrun/routes"
@@ -43,6 +44,7 @@
 	lease    lease.Faults
 	mistakes mistakes
 	retain   time.Duration
+	plan     handover.PlanFunc // the default if nil
 }
 
 // world is one run: daemons, a network, a table, and faults drawn from a seed.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,32 +43,17 @@
 // answerBytes is the longest body of an answer.
 const answerBytes = 8 << 20
 
-// Option configures a Daemon.
-type Option func(*Daemon)
-
-// WithLogger is a functional option that sets where events are logged.
-func WithLogger(l *log.Logger) Option {
-	return func(d *Daemon) { d.log = l }
-}
-
-// WithRegistry is a functional option that sets the registry of the metrics.
-func WithRegistry(r metrics.Registry) Option {
-	return func(d *Daemon) { d.registry = r }
-}
-
-// WithAdmission is a functional option that passes options to the admission of
-// the target, the retry budget and the pools.
-func WithAdmission(opts ...admission.Option) Option {
-	return func(d *Daemon) { d.admission = append(d.admission, opts...) }
-}
-
 // Daemon is the process beside one target.
 type Daemon struct {
-	settings  config.Settings
-	store     *platform.Store
-	log       *log.Logger
-	registry  metrics.Registry
-	admission []admission.Option
+	settings   config.Settings
+	store      *platform.Store
+	log        *log.Logger
+	registry   metrics.Registry
+	admission  []admission.Option
+	control    []control.Option
+	owner      []owner.Option
+	forward    []forward.Option
+	hotOptions []handover.HotOption
 
 	gate      *admission.Gate
 	client    *target.Client
@@ -114,7 +99,6 @@
 		log:      log.New(io.Discard),
 		registry: metrics.NewRegistry(),
 		units:    handover.NewUnits(),
-		hot:      handover.NewHot(),
 		peers:    peer.NewClient(peer.WithMaxFrame(answerBytes + frameSlack)),
 		leave:    make(chan string, 1),
 		grantNow: make(chan struct{}, 1),
@@ -126,10 +110,11 @@
 		opt(d)
 	}
 	d.gate = admission.NewGate(d.admission...)
-	d.server = owner.NewServer(d.gate, d.units, d.hot)
+	d.hot = handover.NewHot(d.hotOptions...)
+	d.server = owner.NewServer(d.gate, d.units, d.hot, d.owner...)
 	d.client = target.NewClient(target.WithCheck(d.server.CheckFence), target.WithLimit(answerBytes))
 	d.server.SetClient(d.client)
-	d.forwarder = forward.NewForwarder(d.server, d.peers, forward.WithAdmission(d.admission...))
+	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.audit = audit.NewWriter(store, audit.WithRegistry(d.registry))
 	d.applier = operator.NewApplier(store, operator.WithAudit(func(e audit.Entry) { d.audit.Add(e) }))
 	d.configs = newConfigs(d.store, d.peers)
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,7 +79,7 @@
 	}
 	i := &incarnation{
 		d: d, self: self,
-		core:    control.NewCore(self, control.WithNames(newName)),
+		core:    control.NewCore(self, append(slices.Clone(d.control), control.WithNames(newName))...),
 		inbox:   make(chan control.Message, inboxSize),
 		ledger:  outcome.NewLedger(),
 		staging: handover.NewStaging(),
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,6 +61,13 @@
 	return func(f *Forwarder) { f.patience = d }
 }
 
+// WithoutWait is a functional option that is the baseline: a keyed request is
+// tried once, and refused if its key has moved or its owner is lost. It costs the
+// requests that the next owner would have served.
+func WithoutWait() Option {
+	return func(f *Forwarder) { f.once, f.patience = true, 0 }
+}
+
 // Forwarder routes requests. It is safe for concurrent use.
 type Forwarder struct {
 	own     *owner.Server
@@ -68,6 +75,8 @@
 	options []admission.Option
 	// patience bounds how long a request waits for its key to be owned.
 	patience time.Duration
+	// once is true if a keyed request is tried once only.
+	once bool
 
 	mu     sync.Mutex
 	budget admission.Budget
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -75,11 +75,9 @@
 	case err == nil && !response.Moved:
 		return k.final(response)
 	case err == nil:
-		waitForRoutes(ctx, snapshot, pause)
-		return nil
+		return k.again(ctx, snapshot, pause, owner.ReasonMoving)
 	case notBegun(err):
-		waitForRoutes(ctx, snapshot, pause)
-		return nil
+		return k.again(ctx, snapshot, pause, ReasonUnreachable)
 	}
 	k.lost = true
 	k.req.Fresh = false
@@ -91,9 +89,18 @@
 	if k.kind.Repeatable() && !k.f.mayRetry() {
 		return refuse(ReasonLost, true)
 	}
-	if !errors.Is(err, errRerouted) {
-		waitForRoutes(ctx, snapshot, pause)
+	if errors.Is(err, errRerouted) {
+		return k.again(ctx, snapshot, 0, ReasonLost)
 	}
+	return k.again(ctx, snapshot, pause, ReasonLost)
+}
+
+// again waits before the next try, and returns the refusal if there is to be none.
+func (k *keyed) again(ctx context.Context, snapshot *routes.Snapshot, wait time.Duration, reason string) *wire.Response {
+	if k.f.once {
+		return refuse(reason, k.asked || k.lost)
+	}
+	waitForRoutes(ctx, snapshot, wait)
 	return nil
 }
 
--- a/forward/keyed_test.go
+++ b/forward/keyed_test.go
@@ -175,6 +175,37 @@
 	return ctx
 }
 
+// Without a wait a request is tried once, and what may have run is not told as
+// not run.
+func TestKeyedWithoutWait(t *testing.T) {
+	const answer, notRun, unknown = wire.OutcomeAnswered, wire.OutcomeNotRun, wire.OutcomeUnknown
+	for _, c := range []struct {
+		name  string
+		step  step
+		owner wire.Generation
+		want  [2]wire.Outcome
+		tries int
+	}{
+		{"answered", answered, 2, [2]wire.Outcome{answer, answer}, 1},
+		{"moved", moved, 2, [2]wire.Outcome{notRun, unknown}, 1},
+		{"not sent", unsent, 2, [2]wire.Outcome{notRun, unknown}, 1},
+		{"broken", broken, 2, [2]wire.Outcome{unknown, unknown}, 1},
+		{"owner changes while it is silent", taken, 2, [2]wire.Outcome{unknown, unknown}, 1},
+		{"no owner", answered, 0, [2]wire.Outcome{notRun, unknown}, 0},
+	} {
+		for i, fresh := range []bool{true, false} {
+			w := newWorld(t, 3)
+			w.give(c.owner, 1)
+			s := &script{w: w, steps: []step{c.step}}
+			f := forward.NewForwarder(w.own, nil, forward.WithCall(s.call), forward.WithoutWait())
+			got := f.Route(context.Background(), w.kind("book"), w.request(w.kind("book"), fresh))
+			if tries, _ := s.made(); got.Outcome != c.want[i] || len(tries) != c.tries {
+				t.Errorf("%s, fresh %t: %s (%s) after %d tries", c.name, fresh, got.Outcome, got.Reason, len(tries))
+			}
+		}
+	}
+}
+
 func TestKeyedWithoutOwner(t *testing.T) {
 	for _, c := range []struct {
 		name, kind string
--- a/handover/hot.go
+++ b/handover/hot.go
@@ -25,6 +25,15 @@
 	coolWindows = 30
 )
 
+// HotOption configures a Hot.
+type HotOption func(*Hot)
+
+// WithoutHot is a functional option that is the baseline: no key is ever hot, so
+// that busy keys of one owner stay together. It costs the balance of their load.
+func WithoutHot() HotOption {
+	return func(h *Hot) { h.never = true }
+}
+
 // KeyRate is a key with its measured rate of requests a second.
 type KeyRate struct {
 	Key  string
@@ -37,6 +46,8 @@
 // table of fixed size (the space-saving algorithm), so that it costs the same
 // however many keys there are. It is safe for concurrent use.
 type Hot struct {
+	never bool
+
 	mu     sync.Mutex
 	counts map[string]int
 	total  int
@@ -46,14 +57,18 @@
 }
 
 // NewHot returns a Hot that has seen nothing.
-func NewHot() *Hot {
-	return &Hot{counts: make(map[string]int, hotTracked), cool: make(map[string]int)}
+func NewHot(opts ...HotOption) *Hot {
+	h := &Hot{counts: make(map[string]int, hotTracked), cool: make(map[string]int)}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
 }
 
 // Observe counts a request for key. Draw is a random number; only one request in
 // several is counted.
 func (h *Hot) Observe(key string, draw uint64) {
-	if draw%hotSample != 0 {
+	if h.never || draw%hotSample != 0 {
 		return
 	}
 	h.mu.Lock()
--- a/handover/hot_test.go
+++ b/handover/hot_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+func TestWithoutHot(t *testing.T) {
+	h := handover.NewHot(handover.WithoutHot())
+	start := time.Unix(1000, 0)
+	h.Turn(start)
+	for range 800 {
+		h.Observe("a", 0)
+	}
+	h.Turn(start.Add(time.Second))
+	if got, ok := h.Hottest(func(string) bool { return false }); ok {
+		t.Errorf("hottest %+v", got)
+	}
+}
+
 func TestHotAmongMany(t *testing.T) {
 	h := handover.NewHot()
 	start := time.Unix(1000, 0)
--- a/handover/plan_test.go
+++ b/handover/plan_test.go
@@ -43,11 +43,15 @@
 
 // planAll returns the moves of all members and what each owns after them.
 func planAll(members int, owners []int, out func(int) bool) (moves []handover.Move, after []int) {
+	return planWith(handover.Plan, members, owners, out)
+}
+
+func planWith(plan handover.PlanFunc, members int, owners []int, out func(int) bool) (moves []handover.Move, after []int) {
 	s := viewOf(members, owners).Snapshot()
 	eligible := func(o *routes.Owner) bool { return !out(int(o.Generation)) }
 	after = slices.Clone(owners)
 	for g := 1; g <= members; g++ {
-		for _, m := range handover.Plan(s, service, eligible, wire.Generation(g)) {
+		for _, m := range plan(s, service, eligible, wire.Generation(g)) {
 			if after[m.Slot] != g {
 				return nil, nil
 			}
--- a/owner/server.go
+++ b/owner/server.go
@@ -38,12 +38,23 @@
 // ErrLease is the error of a dispatch without a lease.
 var ErrLease = errors.New("no lease")
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithoutWait is a functional option that is the baseline: a request for a key
+// that is changing hands is refused at once. It costs the requests that would
+// have been served a moment later.
+func WithoutWait() Option {
+	return func(s *Server) { s.noWait = true }
+}
+
 // Server runs requests at the target beside this daemon.
 type Server struct {
 	gate   *admission.Gate
 	client *target.Client
 	units  *handover.Units
 	hot    *handover.Hot
+	noWait bool
 
 	ledger atomic.Pointer[outcome.Ledger]
 
@@ -54,8 +65,11 @@
 }
 
 // NewServer returns a server that refuses everything until Publish.
-func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.Hot) *Server {
+func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.Hot, opts ...Option) *Server {
 	s := &Server{gate: gate, units: units, hot: hot, lease: newLeaseClock()}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.standing.Store(&Standing{Snapshot: routes.NewView().Snapshot()})
 	return s
 }
@@ -174,6 +188,9 @@
 			defer s.units.Leave(unit)
 			return s.confirm(s.serveUnit(ctx, req, kind, unit, route))
 		}
+		if s.noWait {
+			return unheard(req, kind, ReasonMoving)
+		}
 		select {
 		case <-wait:
 		case <-ctx.Done():
--- a/owner/server_test.go
+++ b/owner/server_test.go
@@ -51,7 +51,7 @@
 
 var unit = outcome.Unit{Service: "agenda", Slot: 0}
 
-func newDaemon(t testing.TB) *daemon {
+func newDaemon(t testing.TB, opts ...owner.Option) *daemon {
 	t.Helper()
 	f, err := config.Parse("test", []byte(kindsText))
 	if err != nil {
@@ -61,7 +61,7 @@
 		t: t, gate: admission.NewGate(admission.WithFixedLimit(16)), units: handover.NewUnits(),
 		ledger: outcome.NewLedger(), view: routes.NewView(), table: config.NewTable(f, 1),
 	}
-	d.server = owner.NewServer(d.gate, d.units, handover.NewHot())
+	d.server = owner.NewServer(d.gate, d.units, handover.NewHot(), opts...)
 	client := target.NewClient(target.WithCheck(d.server.CheckFence))
 	d.server.SetClient(client)
 	d.server.SetLedger(d.ledger)
@@ -296,14 +296,23 @@
 		}
 	})
 	for _, c := range []struct {
-		kind  string
-		fresh bool
-		want  wire.Outcome
-	}{{"book", true, wire.OutcomeNotRun}, {"book", false, wire.OutcomeUnknown}, {"visit", false, wire.OutcomeNotRun}} {
-		d := newDaemon(t)
+		kind    string
+		fresh   bool
+		wait    time.Duration
+		options []owner.Option
+		want    wire.Outcome
+	}{
+		{"book", true, 20 * time.Millisecond, nil, wire.OutcomeNotRun},
+		{"book", false, 20 * time.Millisecond, nil, wire.OutcomeUnknown},
+		{"visit", false, 20 * time.Millisecond, nil, wire.OutcomeNotRun},
+		{"book", true, time.Hour, []owner.Option{owner.WithoutWait()}, wire.OutcomeNotRun},
+		{"book", false, time.Hour, []owner.Option{owner.WithoutWait()}, wire.OutcomeUnknown},
+		{"visit", false, time.Hour, []owner.Option{owner.WithoutWait()}, wire.OutcomeNotRun},
+	} {
+		d := newDaemon(t, c.options...)
 		_ = d.units.Freeze(context.Background(), unit)
 		q := request(c.kind)
-		q.Fresh, q.Wait = c.fresh, 20*time.Millisecond
+		q.Fresh, q.Wait = c.fresh, c.wait
 		if got := d.server.Serve(context.Background(), q); got.Outcome != c.want || got.Reason != owner.ReasonMoving {
 			t.Errorf("%s, fresh %t: %+v", c.kind, c.fresh, got)
 		}
