e2e: measure changes of ownership and hot keys against baselines

BenchmarkChange runs each change with the default, PlanModulo and without waiting, and adds up how long keys had no answer.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -214,6 +215,20 @@
 	return out
 }
 
+// settled returns the owners once none of them changes any more.
+func (f *fleet) settled(service string, keys []string) []holding {
+	f.tb.Helper()
+	for before := f.holdings(service, keys); ; {
+		time.Sleep(1500 * time.Millisecond)
+		after := f.holdings(service, keys)
+		if slices.Equal(before, after) {
+			return after
+		}
+		f.tb.Logf("slots still move")
+		before = after
+	}
+}
+
 // keysOf returns one key of each slot.
 func keysOf(slots uint32) []string {
 	keys := make([]string, slots)
@@ -227,6 +242,13 @@
 	return keys
 }
 
+const (
+	// keyPace is how often each key is asked for in BenchmarkChange, and idleFrom
+	// the gap between two answers from which a key counts as unavailable.
+	keyPace  = 100 * time.Millisecond
+	idleFrom = 2 * keyPace
+)
+
 // traffic is requests at a fixed rate and what came of them.
 type traffic struct {
 	mu      sync.Mutex
@@ -236,6 +258,8 @@
 	// answers for one key.
 	last map[string]time.Time
 	gap  time.Duration
+	// idle sums up the gaps of more than idleFrom.
+	idle time.Duration
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 }
@@ -294,7 +318,11 @@
 		tr.tally.answered++
 		_ = tr.latency.RecordValue(took.Microseconds())
 		if last, ok := tr.last[key]; ok {
-			tr.gap = max(tr.gap, now.Sub(last))
+			gap := now.Sub(last)
+			tr.gap = max(tr.gap, gap)
+			if gap > idleFrom {
+				tr.idle += gap - keyPace
+			}
 		}
 		tr.last[key] = now
 	case "not-run":
@@ -309,7 +337,7 @@
 func (tr *traffic) reset() {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.latency, tr.tally, tr.gap = hdrhistogram.New(1, time.Minute.Microseconds(), 3), tally{}, 0
+	tr.latency, tr.tally, tr.gap, tr.idle = hdrhistogram.New(1, time.Minute.Microseconds(), 3), tally{}, 0, 0
 }
 
 // line sums up the requests since the last reset.
@@ -331,6 +359,14 @@
 	return tr.gap.Round(time.Millisecond)
 }
 
+// unavailable is the time for which keys had no answer beyond their pace, of all
+// keys together.
+func (tr *traffic) unavailable() time.Duration {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.idle
+}
+
 func (tr *traffic) end() {
 	tr.stop()
 	tr.wg.Wait()
--- a/e2e/measure_test.go
+++ b/e2e/measure_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"fulmarrun/admission"
+	"fulmarrun/control"
 	"fulmarrun/daemon"
+	"fulmarrun/handover"
 	"fulmarrun/targetstub"
 )
 
@@ -120,33 +122,121 @@
 				tr := f.traffic(2*time.Millisecond, measureSeed, c.next)
 				time.Sleep(8 * time.Second)
 				tr.end()
-				most, sum, counts := 0, 0, f.total(c.service)
-				for _, n := range counts {
-					most, sum = max(most, n), sum+n
-				}
-				b.ReportMetric(float64(most)*float64(len(counts))/float64(sum), "max/mean")
+				counts := f.total(c.service)
+				b.ReportMetric(imbalance(counts), "max/mean")
 				b.Logf("%s: %v; %s", c.name, counts, tr.line())
 			}
 		})
 	}
 }
 
+// imbalance is the load of the busiest target over the mean.
+func imbalance(counts map[string]int) float64 {
+	most, sum := 0, 0
+	for _, n := range counts {
+		most, sum = max(most, n), sum+n
+	}
+	return float64(most) * float64(len(counts)) / float64(sum)
+}
+
+// BenchmarkHotKeys measures how even the load of the owners of keys is when some
+// keys are hot and their owner is busy.
+func BenchmarkHotKeys(b *testing.B) {
+	for _, p := range []baseline{
+		{"default", nil},
+		{"never-apart", []daemon.Option{daemon.WithHot(handover.WithoutHot())}},
+	} {
+		b.Run("zipf-1.2/"+p.name, func(b *testing.B) {
+			heat(b, p, func(*fleet) func(*rand.Rand) shot {
+				return func(random *rand.Rand) shot { return visit(rand.NewZipf(random, 1.2, 1, 1000).Uint64()) }
+			})
+		})
+		b.Run("three-keys-of-one-owner/"+p.name, func(b *testing.B) { heat(b, p, threeKeys) })
+	}
+}
+
+func visit(id any) shot {
+	key := fmt.Sprint(id)
+	return shot{http.MethodGet, "/agenda/visits/" + key, key}
+}
+
+// threeKeys sends 13 of 100 requests to each of three keys of one owner, and the
+// others to 5,000 keys alike.
+func threeKeys(f *fleet) func(*rand.Rand) shot {
+	keys := keysOf(1024)
+	var hot []string
+	owners := f.holdings("agenda", keys)
+	for slot, h := range owners {
+		if h.instance == owners[0].instance && len(hot) < 3 {
+			hot = append(hot, keys[slot])
+		}
+	}
+	return func(random *rand.Rand) shot {
+		if n := random.IntN(100) / 13; n < len(hot) {
+			return visit(hot[n])
+		}
+		return visit(random.IntN(5000))
+	}
+}
+
+// heat reports 1,000 requests a second, which take 40 ms each, for the 10 s in
+// which keys are set apart and the 10 s after them.
+func heat(b *testing.B, p baseline, load func(*fleet) func(*rand.Rand) shot) {
+	gangs := []gang{{"agenda", 4, 8 * work}, {"despacho", 3, work}, {"compras", 3, work}}
+	f := assemble(b, calorTico, calorTicoDomains(), gangs, p.options...)
+	f.settled("agenda", keysOf(1024))
+	for b.Loop() {
+		tr := f.traffic(time.Millisecond, measureSeed, load(f))
+		before := make(map[string]int)
+		for _, part := range []string{"first", "second"} {
+			time.Sleep(10 * time.Second)
+			counts, now := make(map[string]int), f.total("agenda")
+			for instance, n := range now {
+				counts[instance] = n - before[instance]
+			}
+			before = now
+			b.ReportMetric(imbalance(counts), part+"-max/mean")
+			b.Logf("%s, %s 10 s: max/mean %.3f, %v; %s", p.name, part, imbalance(counts), counts, tr.line())
+			tr.reset()
+		}
+		tr.end()
+	}
+}
+
 // BenchmarkChange measures which slots move and what callers see, while
 // instances join, leave and are lost, and a domain is taken out and returned. It
 // does so for reads, and for deposits under IDs of the callers' own.
 func BenchmarkChange(b *testing.B) {
-	b.Run("reads", func(b *testing.B) {
-		changes(b, gang{"atelier-front", 6, work}, 2048, http.MethodGet, "/atelier-front/instruments/%s")
-	})
-	b.Run("deposits", func(b *testing.B) {
-		changes(b, gang{"casierie", 4, work}, 512, http.MethodPost, "/casierie/collectors/%s/deposits")
-	})
+	for _, p := range ownership() {
+		b.Run("reads/"+p.name, func(b *testing.B) {
+			changes(b, p, gang{"atelier-front", 6, work}, 2048, http.MethodGet, "/atelier-front/instruments/%s")
+		})
+		b.Run("deposits/"+p.name, func(b *testing.B) {
+			changes(b, p, gang{"casierie", 4, work}, 512, http.MethodPost, "/casierie/collectors/%s/deposits")
+		})
+	}
+}
+
+// baseline is a choice of options of daemons.
+type baseline struct {
+	name    string
+	options []daemon.Option
+}
+
+func ownership() []baseline {
+	modulo := daemon.WithControl(control.WithPlan(handover.PlanModulo))
+	return []baseline{
+		{"default", nil},
+		{"modulo", []daemon.Option{modulo}},
+		{"no-wait", []daemon.Option{daemon.WithoutWait()}},
+	}
 }
 
-func changes(b *testing.B, g gang, slots uint32, method, path string) {
+func changes(b *testing.B, p baseline, g gang, slots uint32, method, path string) {
 	f := assemble(b, clepsidra, []string{"cluj-a", "cluj-b", "cluj-c"},
-		[]gang{{"atelier-front", 6, work}, {"casierie", 4, work}, {"banc-lucru", 3, work}})
+		[]gang{{"atelier-front", 6, work}, {"casierie", 4, work}, {"banc-lucru", 3, work}}, p.options...)
 	keys := keysOf(slots)
+	f.settled(g.service, keys)
 	out := strings.Replace(f.text, `"out": []`, `"out": ["cluj-b"]`, 1)
 	in := f.text
 	// Each of 40 keys is asked for every 100 ms.
@@ -169,7 +259,7 @@
 			{"cluj-b is taken out", func() { f.apply(out) }},
 			{"cluj-b returns", func() { f.apply(in) }},
 		} {
-			change(b, f, g.service, keys, e.name, e.do, next)
+			change(b, f, g.service, keys, p.name+", "+e.name, e.do, next)
 		}
 	}
 }
@@ -194,7 +284,7 @@
 	time.Sleep(time.Second)
 	line, gap := tr.line(), tr.longestGap()
 	tr.end()
-	after := f.holdings(service, keys)
+	after := f.settled(service, keys)
 	moved, changes := compare(before, after)
 	now := make(map[string]int)
 	for _, h := range after {
@@ -204,6 +294,6 @@
 	for instance, n := range owned {
 		least += max(0, n-now[instance])
 	}
-	b.Logf("%s: even after %s; slots moved %d, changes of owner %d, least that must move %d; %s; longest gap of a key %s",
-		name, took.Round(time.Millisecond), moved, changes, least, line, gap)
+	b.Logf("%s: even after %s; slots moved %d, changes of owner %d, least that must move %d; %s; longest gap of a key %s, keys unavailable for %s together",
+		name, took.Round(time.Millisecond), moved, changes, least, line, gap, tr.unavailable().Round(time.Millisecond))
 }
