Keep the numbers of fuzzed messages, and name deltas

The kept seeds of FuzzMessages, and the one that declares 2^32 elements, name a message by its place; put new ones before Summary and so turned them to others. New ones stand at the end now.

--- a/routes/doc.go
+++ b/routes/doc.go
@@ -20,13 +20,19 @@
 // generation that has read that it owns a slot hence owns it until it gives it
 // away or its lease ends.
 //
+// # News
+//
+// A View also makes and applies the deltas by which daemons tell each other what
+// changed in a row. One is applied to the version that it was made from alone,
+// so that a view holds rows only as they were in the table.
+//
 // # Usage
 //
 // The control goroutine feeds rows to a View, which drops every row that is not
 // newer than the one it has, and publishes its Snapshot. Traffic goroutines read
 // the snapshot without locks:
 //
-//	if view.Put(row) {
+//	if isNew, err := view.Put(row); isNew && err == nil {
 //		current.Store(view.Snapshot())
 //	}
 //	route, ok := current.Load().Lookup("agenda", "visit-17")
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -27,15 +27,16 @@
 		&wire.Slots{Service: "s", Count: 8, Number: 1, Slots: []wire.Slot{{Owner: 1, Epoch: 2}}, Hot: []wire.HotKey{{Key: "k", Slot: wire.Slot{Owner: 1}}}},
 		&wire.Current{Number: 1, Digest: "d", At: at, Sections: []string{"a"}, Recent: []wire.Accepted{{Number: 1, Change: "c"}}},
 		&wire.Rows{From: 1, Rows: []wire.Row{{Key: "k", Version: 1, Value: []byte("v"), Deleted: true}}, Wanted: []wire.Version{{Key: "k", Version: 1}}},
-		&wire.Rows{From: 1, Deltas: []wire.Delta{{Key: "k", Base: 1, Version: 2, Sum: 3, Edits: []wire.Edit{{Keep: 4, Drop: 5, Put: []byte("p")}}}}},
-		&wire.Wanted{Have: []wire.Version{{Key: "k", Version: 1}}},
 		&wire.Summary{From: 1, Groups: []uint64{1}, Config: 2},
-		&wire.Digests{From: 1, Groups: []uint32{1}, Buckets: []uint64{1}},
 		&wire.Versions{From: 1, Buckets: []uint32{1}, Have: []wire.Version{{Key: "k", Version: 1}}},
 		&wire.Fetch{Digest: "d"}, &wire.Object{Data: []byte("d")},
 		&wire.Vote{From: 1, Holder: 2}, &wire.Verdict{Holder: 2, Expired: true, Wait: 3},
 		&wire.Memory{Service: "s", Slot: 1, Since: at, Records: []wire.Record{{ID: "i", Done: true, At: at, Headers: header, Body: []byte("b")}}},
 		&wire.Ack{OK: true, Reason: "r"}, &wire.Status{Instance: "i", Lease: 1}, &wire.Query{From: 1},
+		// The kept seeds name these by number: new ones go to the end.
+		&wire.Rows{From: 1, Deltas: []wire.Delta{{Key: "k", Base: 1, Version: 2, Sum: 3, Edits: []wire.Edit{{Keep: 4, Drop: 5, Put: []byte("p")}}}}},
+		&wire.Wanted{Have: []wire.Version{{Key: "k", Version: 1}}},
+		&wire.Digests{From: 1, Groups: []uint32{1}, Buckets: []uint64{1}},
 	}
 }
 
