Keep the rows of closed witnesses that an open generation names

Cause: the planner deleted the row of a closed generation as soon as it owned nothing and was old, also if a dead generation that was still open named it as a witness. A closed witness may have to count as a vote; with its row gone nobody could close the dead one, and its slots stayed unserved.

--- a/control/model_test.go
+++ b/control/model_test.go
@@ -67,6 +67,21 @@
 	t.Logf("%+v", total)
 }
 
+// TestModelFound plays runs again that have found a fault.
+func TestModelFound(t *testing.T) {
+	for _, tc := range []struct {
+		seed int64
+		what string
+	}{
+		{1176, "rows of closed witnesses deleted while an open generation names them"},
+		{1640, "the same, on another tree"},
+	} {
+		if violation := newWorld(setupOf(tc.seed)).run(); violation != "" {
+			t.Errorf("seed %d, %s: %s", tc.seed, tc.what, violation)
+		}
+	}
+}
+
 // TestModelModulo checks that the plan that is a baseline keeps what must hold.
 func TestModelModulo(t *testing.T) {
 	for seed := *from; seed < *from+int64(*seeds)/3; seed++ {
--- a/control/plan.go
+++ b/control/plan.go
@@ -163,11 +163,12 @@
 	return out
 }
 
-// collect deletes the row of one long closed member that no row of slots names.
+// collect deletes the row of one long closed member that no row of slots names,
+// nor an open member as its witness: it may have to count as a vote.
 func (c *Core) collect(now time.Time) {
 	for _, m := range c.view.Members() {
 		if m.Service != c.self.Service || m.State != wire.StateClosed ||
-			now.Sub(c.closedSince[m.Generation]) < c.retain || c.referenced(m.Generation) {
+			now.Sub(c.closedSince[m.Generation]) < c.retain || c.referenced(m.Generation) || c.isWitness(m.Generation) {
 			continue
 		}
 		if !c.storeReady(now) {
@@ -192,6 +193,13 @@
 	}
 }
 
+// isWitness tells whether an open member has the given one as a witness.
+func (c *Core) isWitness(g wire.Generation) bool {
+	return slices.ContainsFunc(c.view.Members(), func(m *routes.MemberRow) bool {
+		return m.State != wire.StateClosed && slices.Contains(m.Witnesses, g)
+	})
+}
+
 func (c *Core) referenced(g wire.Generation) bool {
 	shape, ok := c.shape()
 	if !ok {
