--- a/peer/server.go
+++ b/peer/server.go
@@ -162,25 +162,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &serverConn{
 		server:  s,
+		reader:  NewFrameReader(conn, s.opts.maxFrame),
 		writer:  newFrameWriter(conn),
+		ended:   cancel,
 		running: make(map[uint64]context.CancelFunc),
-		work:    make(chan work),
+		read:    make(chan struct{}, 1),
 	}
 	defer c.wg.Wait()
-	defer cancel()
-	reader := NewFrameReader(conn, s.opts.maxFrame)
-	for {
-		frame, err := reader.Next()
-		if err == nil {
-			err = c.accept(ctx, frame)
-		}
-		if err != nil {
-			if isMalformed(err) {
-				s.malformed.Add(1)
-			}
-			return
-		}
-	}
+	c.read <- struct{}{}
+	c.wg.Add(1)
+	c.work(ctx)
+	<-ctx.Done()
 }
 
 func isMalformed(err error) bool {
@@ -193,41 +185,90 @@
 
 var errBadFrame = errors.New("bad frame")
 
+// serverConn is one connection of a peer. Of its goroutines one reads at a time;
+// whoever has read a call passes the reading on and runs it.
 type serverConn struct {
 	server *Server
+	reader *FrameReader
 	writer *frameWriter
-	wg     sync.WaitGroup
-	work   chan work
-	idle   atomic.Int32
+	// ended ends the context of the connection.
+	ended context.CancelFunc
+	wg    sync.WaitGroup
+	// read holds the right to read, unless somebody has it.
+	read chan struct{}
+	idle atomic.Int32
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
 }
 
-func (c *serverConn) accept(ctx context.Context, frame Frame) error {
+// work reads and runs one call after another. It ends with the connection, or if
+// enough others wait.
+func (c *serverConn) work(ctx context.Context) {
+	defer c.wg.Done()
+	for c.idle.Add(1) <= maxIdleWorkers {
+		select {
+		case <-c.read:
+			c.idle.Add(-1)
+		case <-ctx.Done():
+			return
+		}
+		w, err := c.next(ctx)
+		if err != nil {
+			if isMalformed(err) {
+				c.server.malformed.Add(1)
+			}
+			c.ended()
+			return
+		}
+		if c.idle.Load() == 0 {
+			c.wg.Add(1)
+			go c.work(ctx)
+		}
+		c.read <- struct{}{}
+		c.run(w)
+	}
+	c.idle.Add(-1)
+}
+
+// next reads up to the next call that begins.
+func (c *serverConn) next(ctx context.Context) (*call, error) {
+	for {
+		frame, err := c.reader.Next()
+		if err != nil {
+			return nil, err
+		}
+		if w, err := c.accept(ctx, frame); w != nil || err != nil {
+			return w, err
+		}
+	}
+}
+
+// accept returns the call of a frame; nil if the frame is none or the call does
+// not begin.
+func (c *serverConn) accept(ctx context.Context, frame Frame) (*call, error) {
 	if frame.Kind == KindCancel {
 		c.cancel(frame.ID)
-		return nil
+		return nil, nil
 	}
 	h := c.server.handlers[frame.Kind]
 	if h == nil {
-		return fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
+		return nil, fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
 	}
-	call, err := h(ctx, frame.Body)
+	run, err := h(ctx, frame.Body)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errBadFrame, err)
+		return nil, fmt.Errorf("%w: %w", errBadFrame, err)
 	}
 	callCtx, cancel := context.WithCancel(ctx)
 	switch c.begin(frame.ID, cancel) {
 	case begun:
-		c.start(ctx, work{ctx: callCtx, cancel: cancel, kind: frame.Kind, id: frame.ID, call: call})
-		return nil
+		return &call{ctx: callCtx, cancel: cancel, kind: frame.Kind, id: frame.ID, run: run}, nil
 	case full:
 		cancel()
-		return c.writer.write(kindFailed|replyBit, frame.ID, &wire.Ack{Reason: "full"})
+		return nil, c.writer.write(kindFailed|replyBit, frame.ID, &wire.Ack{Reason: "full"})
 	default:
 		cancel()
-		return fmt.Errorf("ID %d is in use: %w", frame.ID, errBadFrame)
+		return nil, fmt.Errorf("ID %d is in use: %w", frame.ID, errBadFrame)
 	}
 }
 
@@ -255,46 +296,17 @@
 	return begun
 }
 
-// work is one call that has begun.
-type work struct {
+// call is one call that has begun.
+type call struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	kind   Kind
 	id     uint64
-	call   func(context.Context) (msgp.Marshaler, error)
-}
-
-// start gives a call to an idle worker, or to a new one.
-func (c *serverConn) start(ctx context.Context, w work) {
-	select {
-	case c.work <- w:
-	default:
-		c.wg.Add(1)
-		go c.worker(ctx, w)
-	}
-}
-
-// worker runs one call after another, since the stack that a call grows is then
-// there for the next. It ends with the connection, or if enough others wait.
-func (c *serverConn) worker(ctx context.Context, w work) {
-	defer c.wg.Done()
-	for {
-		c.run(w)
-		if c.idle.Add(1) > maxIdleWorkers {
-			c.idle.Add(-1)
-			return
-		}
-		select {
-		case w = <-c.work:
-			c.idle.Add(-1)
-		case <-ctx.Done():
-			return
-		}
-	}
+	run    func(context.Context) (msgp.Marshaler, error)
 }
 
-func (c *serverConn) run(w work) {
-	reply, err := w.call(w.ctx)
+func (c *serverConn) run(w *call) {
+	reply, err := w.run(w.ctx)
 	w.cancel()
 	c.mu.Lock()
 	delete(c.running, w.id)
