--- a/control/beat.go
+++ b/control/beat.go
@@ -15,15 +15,6 @@
 	// since when that has been so.
 	leased      bool
 	leasedSince time.Time
-	// silent are those who did not answer as witnesses, and since when.
-	silent map[wire.Generation]time.Time
-	// silentRegions are the other regions in which witnesses did not answer, and
-	// since when.
-	silentRegions map[string]time.Time
-}
-
-func newLeaseState() leaseState {
-	return leaseState{silent: make(map[wire.Generation]time.Time), silentRegions: make(map[string]time.Time)}
 }
 
 func (c *Core) beat(now time.Time) {
--- a/control/core.go
+++ b/control/core.go
@@ -93,7 +93,9 @@
 	nextProbe     time.Time
 
 	ownRow
+	leaveState
 	leaseState
+	witnessState
 	takeoverState
 	spreadState
 	planState
@@ -108,7 +110,7 @@
 		retain:        retainClosed,
 		planMoves:     handover.Plan,
 		ownRow:        ownRow{self: self},
-		leaseState:    newLeaseState(),
+		witnessState:  newWitnessState(),
 		takeoverState: newTakeoverState(),
 		spreadState:   newSpreadState(),
 		moveState:     newMoveState(),
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -13,6 +13,12 @@
 	"fulmarrun/wire"
 )
 
+// predecessorWait is how long self must have held its lease and known of another
+// generation at its address, one that joined before, until that one is known to
+// have lost its own lease: renewals are sent to the address, and those of self
+// show who receives there now.
+const predecessorWait = 1500 * time.Millisecond
+
 const (
 	// takeoverPatience is how long an attempt may gather votes before it starts
 	// again from the row as it is then.
