peer: keep a second dial from taking the place of the first connection

Cause: a caller that saw no connection, and came to dial after another's dial had ended, started a second one. Its connection took the place of the first, which nobody closed: each end kept a socket and a reader until the process ended, also after Close and Retain, and calls were spread over two connections.

Whoever comes to dial now looks for a connection under the lock.

--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -319,6 +320,41 @@
 	until(t, "no connection", func() bool { return s.Stats().Open == 0 && client.Stats().Open == 0 })
 }
 
+// Many calls at a time leave few goroutines behind, and those serve on.
+func TestWorkersEndAfterABurst(t *testing.T) {
+	var running atomic.Int32
+	release := make(chan struct{})
+	s, addr := serve(t, func(ctx context.Context, q *wire.Fetch) (*wire.Object, error) {
+		running.Add(1)
+		<-release
+		return echo(ctx, q)
+	})
+	client := newClient(t)
+	const calls = 300
+	errs := make(chan error, calls)
+	before := runtime.NumGoroutine()
+	for range calls {
+		go func() {
+			_, err := fetch(client, addr, "x")
+			errs <- err
+		}()
+	}
+	until(t, "all calls", func() bool { return running.Load() == calls })
+	if n := s.Stats().Open; n != 1 {
+		t.Errorf("%d connections", n)
+	}
+	close(release)
+	for range calls {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	until(t, "few goroutines", func() bool { return runtime.NumGoroutine() < before+calls/10 })
+	if got, err := fetch(client, addr, "after"); got != "after" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 func TestServerCloseEndsCalls(t *testing.T) {
 	began := make(chan struct{})
 	s, addr := serve(t, func(ctx context.Context, q *wire.Fetch) (*wire.Object, error) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -84,6 +84,11 @@
 	if l.dialing != nil {
 		return l.dialing, nil
 	}
+	if l.conn.Load() != nil {
+		// A dial has ended since the caller looked. A second connection would take
+		// the place of the first, which nobody would close.
+		return ready(), nil
+	}
 	if l.lastErr != nil && time.Since(l.refused) < redialPause {
 		return nil, l.lastErr
 	}
@@ -112,3 +117,10 @@
 	}()
 	return done, nil
 }
+
+// ready returns a channel for those who need not wait.
+func ready() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
