--- a/e2e/rate_bench_test.go
+++ b/e2e/rate_bench_test.go
@@ -30,6 +30,7 @@
 				b.ReportMetric(float64(l.latency.ValueAtPercentile(99))/1e3, "p99-ms")
 				b.ReportMetric(float64(l.latency.TotalCount())/length.Seconds(), "answered/s")
 				b.ReportMetric(float64(l.failed), "failed")
+				b.Logf("not answered, by reason: %v", l.reasons)
 			}
 			b.ReportMetric(0, "ns/op")
 		})
@@ -43,6 +44,8 @@
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
 	failed  int
+	// reasons are those of the requests that were not answered.
+	reasons map[string]int
 }
 
 // drive sends rate requests a second to each instance.
@@ -50,6 +53,7 @@
 	l := &arrivals{
 		client:  http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 5 * time.Second},
 		latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
+		reasons: make(map[string]int),
 	}
 	defer l.client.CloseIdleConnections()
 	var wg sync.WaitGroup
@@ -71,12 +75,13 @@
 }
 
 func (l *arrivals) send(method, url string, due time.Time) {
-	answered := false
+	answered, reason := false, "connection"
 	if req, err := http.NewRequest(method, url, nil); err == nil {
 		if resp, err := l.client.Do(req); err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
 			answered = resp.Header.Get(caller.HeaderOutcome) == "answered"
+			reason = resp.Header.Get(caller.HeaderReason)
 		}
 	}
 	took := time.Since(due)
@@ -84,6 +89,7 @@
 	defer l.mu.Unlock()
 	if !answered {
 		l.failed++
+		l.reasons[reason]++
 		return
 	}
 	_ = l.latency.RecordValue(took.Microseconds())
