e2e: lose a whole failure domain

The loss of a domain was shown by the model only. TestLoss -loss.fault domain kills all instances of the victim's domain, two of six, as processes.

--- a/e2e/loss_test.go
+++ b/e2e/loss_test.go
@@ -21,7 +21,7 @@
 	lossKills  = flag.Int("loss.kills", 2, "losses in TestLoss; CI takes 2")
 	lossSeed   = flag.Uint64("loss.seed", 1, "seed of TestLoss")
 	lossChecks = flag.Bool("loss.checks", true, "targets of TestLoss check grants")
-	lossFault  = flag.String("loss.fault", "kill", "kill, freeze (3 s) or outage (kill within 10 s of outage)")
+	lossFault  = flag.String("loss.fault", "kill", "kill, domain (kill of a whole failure domain), freeze (3 s) or outage (kill within 10 s of outage)")
 )
 
 const (
@@ -100,6 +100,10 @@
 		d.faults(platformstub.Faults{Outage: true})
 		time.Sleep(lossOutage / 2)
 	}
+	lost := []*instance{victim}
+	if *lossFault == "domain" {
+		lost = d.inDomain(victim.domain)
+	}
 	start := time.Now()
 	var wg sync.WaitGroup
 	switch *lossFault {
@@ -110,13 +114,17 @@
 		victim.kill()
 		wg.Go(func() { time.Sleep(lossOutage / 2); d.faults(platformstub.Faults{}) })
 	default:
-		victim.kill()
+		var kills sync.WaitGroup
+		for _, i := range lost {
+			kills.Go(i.kill)
+		}
+		kills.Wait()
 	}
 	out := make(map[string]time.Duration)
 	var mu sync.Mutex
 	for _, p := range probes() {
 		wg.Go(func() {
-			took := d.served(p, d.other(victim), key, start)
+			took := d.served(p, d.other(lost...), key, start)
 			mu.Lock()
 			defer mu.Unlock()
 			out[p.name] = took
@@ -124,7 +132,18 @@
 	}
 	wg.Wait()
 	if *lossFault != "freeze" {
-		d.launch(victim)
+		for _, i := range lost {
+			d.launch(i)
+		}
+	}
+	return out
+}
+
+func (d *deployment) inDomain(domain string) (out []*instance) {
+	for _, i := range d.instances {
+		if i.domain == domain {
+			out = append(out, i)
+		}
 	}
 	return out
 }
