control: show that moves for balance are rationed

The ration above 50 members was only reckoned. TestRation has as many members join as there are: with 100 and 100 the moves of a giver are 2 s apart, as 100 a second of all members need; with 20 and 20 they are not held up.

--- /dev/null
+++ b/control/ration_test.go
@@ -0,0 +1,72 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarrun/control"
+	"fulmarrun/platform"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// TestRation has as many members join a service as there are, so that each must
+// give slots of several rows away, and looks at the time between its moves.
+func TestRation(t *testing.T) {
+	for _, tc := range []struct {
+		members     int
+		least, most time.Duration
+	}{
+		// Few members are not held up.
+		{20, 0, 500 * time.Millisecond},
+		// All members together make 100 moves a second.
+		{100, 2 * time.Second, 2500 * time.Millisecond},
+	} {
+		core, now := joined(tc.members)
+		var rows []wire.Row
+		for i := range tc.members {
+			m := memberOf(i, tc.members)
+			m.Generation += 1000
+			m.Instance = fmt.Sprint("new-", i)
+			value, _ := wire.Encode(&m)
+			rows = append(rows, wire.Row{Key: routes.MemberKey(m.Generation), Version: 1, Value: value})
+		}
+		core.Step(now, control.RowsArrived{From: 2, Rows: rows})
+		var at []time.Time
+		for range 400 {
+			now = now.Add(control.TickInterval)
+			for _, e := range drive(core, now) {
+				if m, ok := e.(control.Move); ok {
+					at = append(at, now)
+					apply(core, now, m)
+				}
+			}
+		}
+		if len(at) < 2 {
+			t.Fatalf("%d members: %d moves", tc.members, len(at))
+		}
+		for i := range at[1:] {
+			if gap := at[i+1].Sub(at[i]); gap < tc.least || gap > tc.most {
+				t.Errorf("%d members: %v between two moves", tc.members, gap)
+			}
+		}
+	}
+}
+
+// apply carries a move out.
+func apply(core *control.Core, now time.Time, m control.Move) {
+	for _, e := range core.Step(now, control.MoveReady{Move: m}) {
+		w, ok := e.(control.Write)
+		if !ok {
+			continue
+		}
+		done := control.WriteDone{Write: w, Applied: true}
+		for i, row := range w.Transaction.Writes {
+			done.Rows = append(done.Rows, platform.Row{
+				Key: row.Key, Version: w.Transaction.Conditions[i].Version + 1, Value: row.Value,
+			})
+		}
+		core.Step(now, done)
+	}
+}
