--- a/control/ration_test.go
+++ b/control/ration_test.go
@@ -24,7 +24,7 @@
 		{100, 2 * time.Second, 2500 * time.Millisecond},
 	} {
 		core, now := joined(tc.members)
-		var rows []wire.Row
+		rows := make([]wire.Row, 0, tc.members)
 		for i := range tc.members {
 			m := memberOf(i, tc.members)
 			m.Generation += 1000
