Say once what stood twice: closed rows, questions to control, first slots

Found by reading the whole change again; behaviour stays as it is.

- lease.Closing builds the closed row and its transaction.
Takeover.close and control.closePredecessor each built it; they differ only in the witnesses named.
- daemon.answer waited for the control goroutine as ask did; it calls ask, which now returns why there is no answer.
- control.tell sends news to members themselves, for heirs and takers alike; who is given something is worked out by takersOf alone.
- noticeRow decoded each row of news a second time, and rows of slots as if they were members.
The view has just decoded it: View.MemberOf.

--- a/control/core.go
+++ b/control/core.go
@@ -250,14 +250,9 @@
 		c.loadConfig(from)
 		return
 	}
-	var m wire.Member
-	if wire.Decode(row.Value, &m) != nil || m.Generation == 0 {
-		return
-	}
-	if routes.MemberKey(m.Generation) != row.Key {
-		return
+	if m := c.view.MemberOf(row.Key); m != nil && m.Generation != 0 && m.Version == row.Version {
+		c.noticeMember(now, m.Member, m.Version)
 	}
-	c.noticeMember(now, m, row.Version)
 }
 
 func (c *Core) noticeMember(now time.Time, m wire.Member, version uint64) {
--- a/control/hot.go
+++ b/control/hot.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return
 	}
-	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	row := c.view.SlotsRow(c.self.Service, routes.FirstOf(slot))
 	entry := row.Slots.Slots[slot-row.First]
 	// Only an owner that the entry itself names can be handed the records.
 	if owner := c.view.Member(entry.Owner); owner == nil || owner.State == wire.StateClosed {
@@ -84,12 +84,12 @@
 		return 0, false
 	}
 	slot = routes.SlotOf(key, count)
-	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	row := c.view.SlotsRow(c.self.Service, routes.FirstOf(slot))
 	return slot, row != nil
 }
 
 func (c *Core) ownsSlot(slot uint32) bool {
-	row := c.view.SlotsRow(c.self.Service, slot-slot%routes.SlotsPerRow)
+	row := c.view.SlotsRow(c.self.Service, routes.FirstOf(slot))
 	r := c.view.Resolve(row, row.Slots.Slots[slot-row.First], slot, "")
 	return r.Owner == c.self.Generation
 }
--- a/control/move.go
+++ b/control/move.go
@@ -163,7 +163,7 @@
 	if m.Key != "" {
 		slot = routes.SlotOf(m.Key, count)
 	}
-	return slot - slot%routes.SlotsPerRow
+	return routes.FirstOf(slot)
 }
 
 // moveReady writes the change of hands, now that nothing runs in the slots and
@@ -278,7 +278,7 @@
 		},
 		Entry: audit.Entry{
 			Who: c.self.Instance, What: audit.Move, Subject: slotsKey,
-			From: names([]wire.Generation{c.self.Generation}), To: takersOf(move), Why: move.Reason, Change: change,
+			From: names([]wire.Generation{c.self.Generation}), To: names(takersOf(move)), Why: move.Reason, Change: change,
 		},
 	})
 }
@@ -295,12 +295,13 @@
 	return append(out, wire.Given{First: first, Number: number})
 }
 
-func takersOf(move Move) string {
+// takersOf returns who is given something, each once.
+func takersOf(move Move) []wire.Generation {
 	var to []wire.Generation
 	for _, m := range move.Moves {
 		if !slices.Contains(to, m.To) {
 			to = append(to, m.To)
 		}
 	}
-	return names(to)
+	return to
 }
--- a/control/spread.go
+++ b/control/spread.go
@@ -171,14 +171,21 @@
 	if row == nil {
 		return
 	}
+	whole := wire.Version{Key: routes.SlotsKey(row.Service, row.First)}
+	c.tell(takersOf(move), c.rowsSince([]wire.Version{whole}))
+}
+
+// tell sends news to members themselves.
+func (c *Core) tell(members []wire.Generation, news wire.Rows) {
 	var to []netip.AddrPort
-	for _, m := range move.Moves {
-		if addr := c.addr(m.To); addr.IsValid() && !slices.Contains(to, addr) {
+	for _, g := range members {
+		if addr := c.addr(g); addr.IsValid() && g != c.self.Generation {
 			to = append(to, addr)
 		}
 	}
-	whole := wire.Version{Key: routes.SlotsKey(row.Service, row.First)}
-	c.emit(SpreadRows{To: to, News: c.rowsSince([]wire.Version{whole})})
+	if len(to) > 0 {
+		c.emit(SpreadRows{To: to, News: news})
+	}
 }
 
 // neighbours returns the peers that news is passed to: the next member on each
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -228,22 +227,13 @@
 		heirs = c.heirs(now, row.Member)
 	}
 	const why = "its successor has held its address since"
-	next := row.Member
-	next.State, next.Heirs, next.Witnesses = wire.StateClosed, heirs, nil
-	next.Change, next.Reason = c.name(), why
-	value, err := wire.Encode(&next)
+	tx, err := lease.Closing{
+		Row: row.Member, Version: row.Version, Closer: c.self.Generation, CloserVersion: c.version,
+		Heirs: heirs, Change: c.name(), Reason: why,
+	}.Transaction()
 	if err != nil {
 		return
 	}
-	key := routes.MemberKey(row.Generation)
-	tx := platform.Transaction{
-		ID: next.Change,
-		Conditions: []platform.Condition{
-			{Key: routes.MemberKey(c.self.Generation), Version: c.version},
-			{Key: key, Version: row.Version},
-		},
-		Writes: []platform.Write{{Key: key, Value: value}},
-	}
 	c.takeovers[row.Generation] = &takeover{version: row.Version, since: now, writing: true}
 	c.emitTakeover(row.Member, tx, heirs, why)
 }
@@ -281,14 +271,6 @@
 		if wire.Decode(row.Value, &m) != nil || m.State != wire.StateClosed {
 			continue
 		}
-		var to []netip.AddrPort
-		for _, heir := range m.Heirs {
-			if addr := c.addr(heir); addr.IsValid() && heir != c.self.Generation {
-				to = append(to, addr)
-			}
-		}
-		if len(to) > 0 {
-			c.emit(SpreadRows{To: to, News: wire.Rows{From: c.self.Generation, Rows: []wire.Row{row}}})
-		}
+		c.tell(m.Heirs, wire.Rows{From: c.self.Generation, Rows: []wire.Row{row}})
 	}
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -129,10 +129,10 @@
 	if len(wanted.Have) == 0 {
 		return
 	}
-	rows := ask(ctx, i, func(reply func(wire.Rows)) control.Message {
+	rows, err := ask(ctx, i, func(reply func(wire.Rows)) control.Message {
 		return control.WantedArrived{Wanted: wanted, Reply: reply}
 	})
-	if len(rows.Rows)+len(rows.Deltas) > 0 {
+	if err == nil && len(rows.Rows)+len(rows.Deltas) > 0 {
 		_, _ = peer.Call[wire.Wanted](ctx, i.d.peers, to, peer.KindRows, &rows)
 	}
 }
@@ -145,10 +145,10 @@
 	if err != nil || len(digests.Groups) == 0 {
 		return
 	}
-	ours := ask(ctx, i, func(reply func(wire.Versions)) control.Message {
+	ours, err := ask(ctx, i, func(reply func(wire.Versions)) control.Message {
 		return control.DigestsArrived{Digests: *digests, Reply: reply}
 	})
-	if len(ours.Buckets) == 0 {
+	if err != nil || len(ours.Buckets) == 0 {
 		return
 	}
 	theirs, err := peer.Call[wire.Rows](ctx, i.d.peers, e.To, peer.KindVersions, &ours)
@@ -159,19 +159,19 @@
 	i.sendWanted(ctx, e.To, wire.Wanted{Have: theirs.Wanted})
 }
 
-// ask puts a question to the control goroutine and returns the answer; the zero
-// value if ctx ends first.
-func ask[T any](ctx context.Context, i *incarnation, message func(reply func(T)) control.Message) T {
-	answer := make(chan T, 1)
-	i.post(ctx, message(func(v T) { answer <- v }))
+// ask puts a question to the control goroutine and returns the answer.
+func ask[T any](ctx context.Context, i *incarnation, message func(reply func(T)) control.Message) (T, error) {
+	out := make(chan T, 1)
+	i.post(ctx, message(func(v T) { out <- v }))
+	var zero T
 	select {
-	case v := <-answer:
-		return v
+	case v := <-out:
+		return v, nil
 	case <-ctx.Done():
+		return zero, ctx.Err()
 	case <-i.ctx.Done():
+		return zero, errNotReady
 	}
-	var zero T
-	return zero
 }
 
 // probe asks the platform for the row of the configuration; the store notes when
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -67,14 +67,9 @@
 	if i == nil {
 		return nil, errNotReady
 	}
-	out := make(chan T, 1)
-	i.post(ctx, message(func(v T) { out <- v }))
-	select {
-	case v := <-out:
-		return &v, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-i.ctx.Done():
-		return nil, errNotReady
+	v, err := ask(ctx, i, message)
+	if err != nil {
+		return nil, err
 	}
+	return &v, nil
 }
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -1,14 +1,11 @@
 package lease
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"fulmarrun/platform"
-	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -174,24 +171,12 @@
 		closer.Generation == t.row.Generation {
 		return platform.Transaction{}, ErrNotOpen
 	}
-	row := t.row
-	row.State = wire.StateClosed
-	row.Heirs = slices.Clone(heirs)
-	row.Change = change
-	row.Reason = reason
-	row.Witnesses = t.proof(closer.Generation, certain)
-	value, err := wire.Encode(&row)
+	tx, err := Closing{
+		Row: t.row, Version: t.version, Closer: closer.Generation, CloserVersion: closerVersion,
+		Heirs: heirs, Witnesses: t.proof(closer.Generation, certain), Change: change, Reason: reason,
+	}.Transaction()
 	if err != nil {
-		return platform.Transaction{}, fmt.Errorf("encode closed row: %w", err)
-	}
-	key := routes.MemberKey(row.Generation)
-	tx := platform.Transaction{
-		ID: change,
-		Conditions: []platform.Condition{
-			{Key: routes.MemberKey(closer.Generation), Version: closerVersion},
-			{Key: key, Version: t.version},
-		},
-		Writes: []platform.Write{{Key: key, Value: value}},
+		return platform.Transaction{}, err
 	}
 	if t.faults.AnyVersion {
 		tx.Conditions = tx.Conditions[:1]
--- a/routes/view.go
+++ b/routes/view.go
@@ -280,6 +280,15 @@
 // Member returns the row of a generation, or nil.
 func (v *View) Member(g wire.Generation) *MemberRow { return v.members[g] }
 
+// MemberOf returns the member whose row has the given key, or nil.
+func (v *View) MemberOf(key string) *MemberRow {
+	g, ok := memberOf(key)
+	if !ok || !isMemberKey(key) {
+		return nil
+	}
+	return v.members[g]
+}
+
 // Members returns all member rows, closed ones too, by generation. The slice is
 // shared: it must not be changed and holds until the next Put.
 func (v *View) Members() []*MemberRow { return v.ordered }
