daemon: a generation has its context before others can see it

Cause: a generation was made visible before run gave it its context.

Ruled out: a message of an earlier generation, since each has its own context and the panic was in the first.

Conclusion: the context is made with the generation.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -273,7 +273,7 @@
 			d.newBook(renewed)
 		}
 		began := clock.Now()
-		i := newIncarnation(d)
+		i := newIncarnation(ctx, d)
 		d.current.Store(i)
 		left, err := i.run(ctx)
 		if err != nil {
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -85,7 +85,7 @@
 	return opts
 }
 
-func newIncarnation(d *Daemon) *incarnation {
+func newIncarnation(ctx context.Context, d *Daemon) *incarnation {
 	s := d.settings
 	self := wire.Member{
 		Instance: s.Instance, Generation: newGeneration(), Service: s.Service,
@@ -99,13 +99,13 @@
 		staging: handover.NewStaging(),
 		held:    make(handover.Holdings),
 	}
+	i.ctx, i.cancel = context.WithCancel(ctx)
 	return i
 }
 
 // run joins and serves until the generation ends; left is true if that was a
 // planned leave that is done.
 func (i *incarnation) run(ctx context.Context) (left bool, err error) {
-	i.ctx, i.cancel = context.WithCancel(ctx)
 	defer i.end()
 	i.applyService()
 	i.d.server.SetLedger(i.ledger)
