--- a/caller/handler.go
+++ b/caller/handler.go
@@ -64,11 +64,18 @@
 	return func(h *Handler) { h.maxBody = bytes }
 }
 
+// WithRefused is a functional option that names what is told of each request that is
+// refused before it is routed.
+func WithRefused(refused func(r *http.Request, id string, response *wire.Response)) Option {
+	return func(h *Handler) { h.refused = refused }
+}
+
 // Handler answers callers.
 type Handler struct {
 	table   func() *config.Table
 	route   func(context.Context, *config.Kind, *wire.Request) *wire.Response
 	maxBody int64
+	refused func(*http.Request, string, *wire.Response)
 }
 
 // NewHandler returns a handler that finds the kind of a request in the table in
@@ -76,7 +83,7 @@
 func NewHandler(table func() *config.Table,
 	route func(context.Context, *config.Kind, *wire.Request) *wire.Response, opts ...Option,
 ) *Handler {
-	h := &Handler{table: table, route: route, maxBody: DefaultMaxBody}
+	h := &Handler{table: table, route: route, maxBody: DefaultMaxBody, refused: func(*http.Request, string, *wire.Response) {}}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -88,6 +95,7 @@
 	kind, req, refused := h.read(w, r)
 	if refused != nil {
 		id, _ := ownID(r.Header)
+		h.refused(r, id, refused)
 		write(w, r.Method, id, refused)
 		return
 	}
--- a/cli/app.go
+++ b/cli/app.go
@@ -105,6 +105,7 @@
 		{"audit", "Print the audit trail of changes", auditHelp, &auditCommand{app: a, ctx: ctx}},
 		{"key", "Tell who owns a key", keyHelp, &keyCommand{app: a, ctx: ctx}},
 		{"leave", "Make one daemon give its keys away and stop", leaveHelp, &leaveCommand{app: a, ctx: ctx}},
+		{"explain", "Tell the story of a request from logs", explainHelp, &explainCommand{app: a}},
 		{"version", "Print the version", versionHelp, &versionCommand{app: a}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -38,8 +38,8 @@
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
 	logger := newLogger(out)
-	logger.Info("process starts", "pid", os.Getpid(), "settings", c.Settings)
-	defer logger.Info("process ends", "pid", os.Getpid())
+	logger.Info(logs.EventStart, logs.FieldPID, os.Getpid(), logs.FieldSettings, c.Settings)
+	defer logger.Info(logs.EventEnd, logs.FieldPID, os.Getpid())
 	return untilSignal(c.ctx, func(ctx context.Context) error {
 		return c.app.platform(ctx, c.Settings, logger)
 	})
--- a/config/settings.go
+++ b/config/settings.go
@@ -43,6 +43,9 @@
 	Target netip.AddrPort
 	// Operator is the address for operators' commands.
 	Operator netip.AddrPort
+	// Metrics is an address for metrics besides that for operators; none if it is
+	// not valid.
+	Metrics netip.AddrPort
 	// Platform is the address of the platform's service.
 	Platform netip.AddrPort
 	// Drain is the limit of a graceful stop.
@@ -90,6 +93,7 @@
 	Caller   string       `json:"caller"`
 	Target   string       `json:"target"`
 	Operator string       `json:"operator"`
+	Metrics  *string      `json:"metrics"`
 	Platform string       `json:"platform"`
 	Drain    *string      `json:"drain"`
 	Log      *string      `json:"log"`
@@ -136,17 +140,22 @@
 // to two purposes.
 func (r *rawSettings) addresses(d *document, s *Settings) {
 	taken := make(map[netip.AddrPort]string)
-	for _, field := range []struct {
+	type address struct {
 		name string
 		text string
 		to   *netip.AddrPort
-	}{
+	}
+	fields := []address{
 		{"peer", r.Peer, &s.Peer},
 		{"caller", r.Caller, &s.Caller},
 		{"target", r.Target, &s.Target},
 		{"operator", r.Operator, &s.Operator},
 		{"platform", r.Platform, &s.Platform},
-	} {
+	}
+	if r.Metrics != nil {
+		fields = append(fields, address{"metrics", *r.Metrics, &s.Metrics})
+	}
+	for _, field := range fields {
 		address, err := netip.ParseAddrPort(field.text)
 		if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
 			d.reportValue("/"+field.name, `an IP number and a port, such as "10.0.1.7:7001"`)
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -12,6 +12,7 @@
 	"fulmarrun/config"
 	"fulmarrun/control"
 	"fulmarrun/holds"
+	"fulmarrun/logs"
 	"fulmarrun/storage"
 	"fulmarrun/targethttp"
 )
@@ -41,7 +42,7 @@
 	defer f.mu.Unlock()
 	switch f.book.Judge(&beat) {
 	case holds.Late:
-		d.log.Debug("beat overtaken", "instance", d.settings.Instance, "target", beat.Name, "sequence", beat.Sequence)
+		d.log.Debug(logs.EventBeatLate, logs.FieldTarget, beat.Name, logs.FieldSequence, beat.Sequence)
 		return holds.Answer{}, nil
 	case holds.Reborn:
 		d.meet(now, beat)
@@ -75,8 +76,8 @@
 	before := f.beat
 	if before.Life != beat.Life {
 		f.gone = false
-		d.log.Info("target met", "instance", d.settings.Instance, "target", beat.Name, "address", beat.Address,
-			"slots", beat.Slots, "cold", beat.Cold)
+		d.log.Info(logs.EventTargetMet, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
+			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
 	}
 	f.beat, f.heard = beat, now
 	if before.Slots != beat.Slots {
@@ -134,7 +135,7 @@
 		return
 	}
 	d.fetched.idle = idle
-	d.log.Info("target changed", "instance", d.settings.Instance, "idle", idle, "reason", reason)
+	d.log.Info(logs.EventTargetChanged, logs.FieldIdle, idle, logs.FieldReason, reason)
 	d.server.RefuseUnkeyed(idle || d.leaving.Load())
 	if i := d.current.Load(); i != nil {
 		i.offer(control.TargetChanged{Idle: idle, Reason: reason})
--- /dev/null
+++ b/daemon/belief.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fulmarrun/clock"
+	"fulmarrun/forward"
+	"fulmarrun/logs"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// belief returns what decisions rest on, and how old that is, as fields of a line.
+func (d *Daemon) belief() []any {
+	standing := d.server.Standing()
+	fields := []any{
+		logs.FieldGeneration, standing.Generation, logs.FieldMembers, len(standing.Snapshot.All()),
+		logs.FieldConfig, d.configNumber(), logs.FieldConfigAge, since(d.configSince.Load()),
+		logs.FieldLease, max(0, clock.Until(d.server.LeaseUntil())), logs.FieldStoreAge, d.storeAge(),
+	}
+	if d.fetched != nil {
+		fields = append(fields, "targetage", d.targetAge())
+	}
+	return fields
+}
+
+// since returns how long ago a moment was, to the millisecond; zero if there was none.
+func since(at *time.Time) time.Duration {
+	if at == nil || at.IsZero() {
+		return 0
+	}
+	return clock.Since(*at).Round(time.Millisecond)
+}
+
+func (d *Daemon) configNumber() uint64 {
+	if table := d.table.Load(); table != nil {
+		return table.Number()
+	}
+	return 0
+}
+
+// storeAge is how long the store has given no answer.
+func (d *Daemon) storeAge() time.Duration {
+	at := d.store.Answered()
+	return since(&at)
+}
+
+// targetAge is how long the target has sent no beat.
+func (d *Daemon) targetAge() time.Duration {
+	heard := d.fetched.lastHeard()
+	return since(&heard)
+}
+
+// registerGauges has the state of the process among the metrics.
+func (d *Daemon) registerGauges() {
+	gauge := func(name string, value func() int64) {
+		_ = d.registry.Register(name, metrics.NewFunctionalGauge(value))
+	}
+	seconds := func(name string, value func() time.Duration) {
+		_ = d.registry.Register(name, metrics.NewFunctionalGaugeFloat64(func() float64 { return value().Seconds() }))
+	}
+	gauge(metricInFlight, func() int64 { return int64(d.gate.Stats().InFlight) })
+	gauge(metricQueued, func() int64 { return int64(d.gate.Stats().Queued) })
+	gauge(metricLimit, func() int64 { return int64(d.gate.Stats().Limit) })
+	gauge(metricConfig, func() int64 { return int64(d.configNumber()) })
+	gauge(metricMembers, func() int64 { return int64(len(d.server.Standing().Snapshot.All())) })
+	gauge(metricOwned, func() int64 { return int64(d.status().Slots) })
+	seconds(metricLease, func() time.Duration { return max(0, clock.Until(d.server.LeaseUntil())) })
+	seconds(metricStore, d.storeAge)
+	if d.fetched != nil {
+		seconds(metricTargetAge, d.targetAge)
+	}
+}
+
+// noteStore logs that the store has fallen silent, or answers again.
+func (d *Daemon) noteStore(err error) {
+	if err == nil {
+		d.noteBelief(logs.EventStoreRegained, "", logs.FieldAge, d.storeAge())
+		return
+	}
+	d.noteBelief(logs.EventStoreLost, "", logs.FieldAge, d.storeAge(), logs.FieldErr, err)
+}
+
+// noteBelief logs a change of what the process believes, of some subject, unless there
+// were too many of the event.
+func (d *Daemon) noteBelief(event, subject string, fields ...any) {
+	hidden, ok := d.requests.Allow(event, subject)
+	if !ok {
+		d.counters.hidden.Inc(1)
+		return
+	}
+	d.log.Info(event, append(fields, logs.FieldHidden, hidden)...)
+}
+
+// noteMembers logs how the members of a new snapshot differ from those before.
+func (d *Daemon) noteMembers(before, after *routes.Snapshot) {
+	if before == nil || after.SameOwners(before) {
+		return
+	}
+	for _, m := range after.All() {
+		old := before.Owner(m.Generation)
+		switch {
+		case m.Generation == d.server.Standing().Generation:
+		case old == nil:
+			d.noteMember(logs.EventMemberKnown, m)
+		case !old.Idle && m.Idle:
+			d.noteMember(logs.EventMemberIdle, m)
+		case old.Idle && !m.Idle:
+			d.noteMember(logs.EventMemberActive, m)
+		}
+	}
+	for _, m := range before.All() {
+		if after.Owner(m.Generation) == nil {
+			d.noteMember(logs.EventMemberGone, m)
+		}
+	}
+}
+
+func (d *Daemon) noteMember(event string, m *routes.Owner) {
+	d.noteBelief(event, m.Instance, logs.FieldMember, m.Instance, logs.FieldService, m.Service, logs.FieldDomain, m.Domain,
+		logs.FieldGeneration, m.Generation, logs.FieldPeer, m.Peer, logs.FieldIdle, m.Idle)
+}
+
+// watchPeer logs that a daemon can't be reached, or can be again.
+func (d *Daemon) watchPeer(t forward.Try) {
+	lost := forward.Unreached(t.Err)
+	if !lost && d.lostPeers.Load() == 0 {
+		return
+	}
+	if lost {
+		if _, known := d.unreached.LoadOrStore(t.To.Generation, clock.Now()); !known {
+			d.lostPeers.Add(1)
+			d.noteBelief(logs.EventPeerLost, t.To.Instance, logs.FieldMember, t.To.Instance, logs.FieldPeer, t.To.Peer, logs.FieldErr, t.Err)
+		}
+		return
+	}
+	if t.Err != nil {
+		return
+	}
+	if at, known := d.unreached.LoadAndDelete(t.To.Generation); known {
+		d.lostPeers.Add(-1)
+		began, _ := at.(time.Time)
+		d.noteBelief(logs.EventPeerRegained, t.To.Instance, logs.FieldMember, t.To.Instance, logs.FieldPeer, t.To.Peer,
+			logs.FieldAge, since(&began))
+	}
+}
+
+// forgetPeers drops what is noted of members that are gone.
+func (d *Daemon) forgetPeers(snapshot *routes.Snapshot) {
+	d.unreached.Range(func(g, _ any) bool {
+		generation, ok := g.(wire.Generation)
+		if !ok || snapshot.Owner(generation) == nil {
+			if _, known := d.unreached.LoadAndDelete(g); known {
+				d.lostPeers.Add(-1)
+			}
+		}
+		return true
+	})
+}
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/control"
+	"fulmarrun/logs"
 	"fulmarrun/operator"
 	"fulmarrun/peer"
 	"fulmarrun/storage"
@@ -157,7 +159,7 @@
 			i.post(ctx, m)
 			return
 		}
-		i.d.log.Warn("configuration not loaded", "instance", i.self.Instance, "number", e.Current.Number, "err", err)
+		i.d.log.Warn(logs.EventConfigMissed, logs.FieldNumber, e.Current.Number, logs.FieldErr, err)
 		if backoff.Wait(ctx) != nil {
 			return
 		}
@@ -221,7 +223,9 @@
 		return
 	}
 	i.d.table.Store(m.table)
+	now := clock.Now()
+	i.d.configSince.Store(&now)
 	i.d.configs.enforce(m.current, m.text)
 	i.applyService()
-	i.d.log.Info("configuration in force", "instance", i.self.Instance, "number", m.Number, "author", m.current.Author)
+	i.d.log.Info(logs.EventConfigForce, logs.FieldNumber, m.Number, logs.FieldAuthor, m.current.Author)
 }
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -2,49 +2,153 @@
 
 import (
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
-	"fulmarrun/caller"
+	"fulmarrun/histogram"
+	"fulmarrun/operator"
+	"fulmarrun/wire"
 )
 
+// Names of metrics; docs/OPERATIONS.md lists them.
+const (
+	metricRequests  = "requests"
+	metricLatency   = "requests.latency"
+	metricDropped   = "control.dropped"
+	metricMoved     = "slots.given"
+	metricHidden    = "log.hidden"
+	metricOwned     = "slots.owned"
+	metricInFlight  = "target.inflight"
+	metricQueued    = "target.queued"
+	metricLimit     = "target.limit"
+	metricConfig    = "config.number"
+	metricMembers   = "members"
+	metricLease     = "lease.left.seconds"
+	metricStore     = "store.silent.seconds"
+	metricTargetAge = "target.silent.seconds"
+)
+
+const (
+	// maxKinds bounds the kinds that are told apart; a configuration may have
+	// thousands. A kind takes about 70 KB for each outcome.
+	maxKinds = 32
+	// otherKind is the label of all further ones.
+	otherKind = "other"
+)
+
+// series is what requests are counted by.
+type series struct {
+	service, kind, outcome, reason string
+}
+
 // counters are the metrics of the process.
 type counters struct {
-	answered metrics.Counter
-	notRun   metrics.Counter
-	unknown  metrics.Counter
-	latency  metrics.Timer
+	registry metrics.Registry
 	// dropped counts messages that the control goroutine had no room for.
 	dropped metrics.Counter
 	// moved counts slots that were given away.
 	moved metrics.Counter
+	// hidden counts lines that the log was spared.
+	hidden metrics.Counter
+
+	mu       sync.RWMutex
+	kinds    map[[2]string]bool
+	requests map[series]metrics.Counter
+	latency  map[series]metrics.Timer
+}
+
+func newCounters(r metrics.Registry) *counters {
+	return &counters{
+		registry: r,
+		dropped:  metrics.GetOrRegisterCounter(metricDropped, r),
+		moved:    metrics.GetOrRegisterCounter(metricMoved, r),
+		hidden:   metrics.GetOrRegisterCounter(metricHidden, r),
+		kinds:    make(map[[2]string]bool),
+		requests: make(map[series]metrics.Counter),
+		latency:  make(map[series]metrics.Timer),
+	}
+}
+
+// count counts a request of a caller by what became of it.
+func (c *counters) count(service, kind string, r *wire.Response, took time.Duration) {
+	s := series{service: service, kind: kind, outcome: r.Outcome.String(), reason: r.Reason}
+	if r.Outcome == wire.OutcomeAnswered {
+		s.reason = statusClass(r.Status)
+	}
+	requests, latency := c.of(s)
+	requests.Inc(1)
+	latency.Update(took)
+}
+
+// statusClass returns the class of an HTTP status, such as 2xx.
+func statusClass(status uint16) string {
+	return strconv.Itoa(int(status)/http.StatusContinue) + "xx"
+}
+
+// of returns the metrics of a series. Latencies are by outcome, not by reason.
+func (c *counters) of(s series) (metrics.Counter, metrics.Timer) {
+	c.mu.RLock()
+	requests := c.requests[s]
+	latency := c.latency[series{service: s.service, kind: s.kind, outcome: s.outcome}]
+	c.mu.RUnlock()
+	if requests != nil && latency != nil {
+		return requests, latency
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.register(s)
 }
 
-func newCounters(r metrics.Registry) counters {
-	return counters{
-		answered: metrics.GetOrRegisterCounter("requests.answered", r),
-		notRun:   metrics.GetOrRegisterCounter("requests.notrun", r),
-		unknown:  metrics.GetOrRegisterCounter("requests.unknown", r),
-		latency:  metrics.GetOrRegisterTimer("requests.latency", r),
-		dropped:  metrics.GetOrRegisterCounter("control.dropped", r),
-		moved:    metrics.GetOrRegisterCounter("slots.given", r),
+// register makes the metrics of a series, or returns those that are there; the lock is
+// held.
+func (c *counters) register(s series) (metrics.Counter, metrics.Timer) {
+	if kind := [2]string{s.service, s.kind}; !c.kinds[kind] {
+		if len(c.kinds) >= maxKinds {
+			s.kind = otherKind
+		} else {
+			c.kinds[kind] = true
+		}
+	}
+	requests := c.requests[s]
+	if requests == nil {
+		requests = metrics.NewCounter()
+		c.requests[s] = requests
+		_ = c.registry.Register(operator.Labelled(metricRequests,
+			"service", s.service, "kind", s.kind, "outcome", s.outcome, "reason", s.reason), requests)
+	}
+	s.reason = ""
+	latency := c.latency[s]
+	if latency == nil {
+		latency = metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NilMeter{})
+		c.latency[s] = latency
+		_ = c.registry.Register(operator.Labelled(metricLatency,
+			"service", s.service, "kind", s.kind, "outcome", s.outcome), latency)
 	}
+	return requests, latency
 }
 
-// count measures the requests of callers.
-func (c counters) count(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		start := time.Now()
-		next.ServeHTTP(w, r)
-		c.latency.UpdateSince(start)
-		switch w.Header().Get(caller.HeaderOutcome) {
-		case "answered":
-			c.answered.Inc(1)
-		case "not-run":
-			c.notRun.Inc(1)
+// totals are counts from the start of the process.
+type totals struct {
+	answered, refused, unknown, hidden int64
+}
+
+// totals sums the requests of all kinds up.
+func (c *counters) totals() totals {
+	out := totals{hidden: c.hidden.Count()}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for s, requests := range c.requests {
+		switch s.outcome {
+		case wire.OutcomeAnswered.String():
+			out.answered += requests.Count()
+		case wire.OutcomeNotRun.String():
+			out.refused += requests.Count()
 		default:
-			c.unknown.Inc(1)
+			out.unknown += requests.Count()
 		}
-	})
+	}
+	return out
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,8 +72,15 @@
 	callers  *http.Server
 	applier  *operator.Applier
 	configs  *configs
-	counters counters
-	requests *logs.Limit
+	counters *counters
+	// requests bounds the lines about requests and changes of belief.
+	requests *logs.Sampler
+	// configSince is when the configuration in force was put in force.
+	configSince atomic.Pointer[time.Time]
+	// unreached has, by generation, since when daemons can't be reached; lostPeers is
+	// how many these are.
+	unreached sync.Map
+	lostPeers atomic.Int64
 
 	listeners listeners
 	current   atomic.Pointer[incarnation]
@@ -115,7 +122,7 @@
 		log:      log.New(io.Discard),
 		registry: metrics.NewRegistry(),
 		units:    handover.NewUnits(),
-		requests: logs.NewLimit(requestLines),
+		requests: logs.NewSampler(requestLines),
 		peers:    peer.NewClient(peer.WithMaxFrame(answerBytes + frameSlack)),
 		leave:    make(chan string, 1),
 		grantNow: make(chan struct{}, 1),
@@ -128,6 +135,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.log = d.log.With(logs.FieldInstance, settings.Instance)
 	d.assemble()
 	if err := d.bind(); err != nil {
 		return nil, err
@@ -145,6 +153,10 @@
 		d.control = append(fetchControl(), d.control...)
 		d.owner = append(d.owner, owner.WithGranted(d.fetched.granted, d.fetched.refute))
 	}
+	d.store = storage.Track(d.store, clock.Now, storage.WithChange(d.noteStore))
+	d.counters = newCounters(d.registry)
+	d.owner = append(d.owner, owner.WithObserver(d.noteServed))
+	d.forward = append(d.forward, forward.WithObserver(d.noteTry))
 	d.gate = admission.NewGate(d.admission...)
 	d.hot = handover.NewHot(d.hotOptions...)
 	d.server = owner.NewServer(d.gate, d.units, d.hot, d.owner...)
@@ -153,7 +165,7 @@
 	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.add))
 	d.configs = newConfigs(d.store, d.peers)
-	d.counters = newCounters(d.registry)
+	d.registerGauges()
 	d.callers = d.callerServer()
 }
 
@@ -217,6 +229,9 @@
 	d.addServer(g, d.callers, d.listeners.caller)
 	d.addServer(g, d.targetServer(), d.listeners.target)
 	d.addServer(g, d.operatorServer(), d.listeners.operator)
+	if d.listeners.metrics != nil {
+		d.addServer(g, d.metricsServer(), d.listeners.metrics)
+	}
 	g.Add(func() error { return server.Serve(d.listeners.peer) }, func(error) {
 		_ = d.listeners.peer.Close()
 		server.Close()
@@ -226,6 +241,7 @@
 	g.Add(func() error { <-d.aborted; return ErrAborted }, func(error) { d.Abort() })
 	g.Add(func() error { <-d.ended; return nil }, func(error) { d.end() })
 	d.addActor(ctx, g, d.live)
+	d.addActor(ctx, g, d.summarize)
 	if d.audit != nil {
 		d.addActor(ctx, g, d.audit.Run)
 	}
@@ -290,7 +306,7 @@
 			continue
 		}
 		pause = rejoinPause(pause, clock.Since(began))
-		d.log.Warn("generation closed", "generation", i.self.Generation, "instance", d.settings.Instance)
+		d.log.Warn(logs.EventRejoin, logs.FieldGeneration, i.self.Generation)
 	}
 	return nil
 }
@@ -330,8 +346,8 @@
 		server.ConnContext = d.outside.ConnContext
 		return server
 	}
-	handler := caller.NewHandler(d.table.Load, d.forwarder.Route, caller.WithMaxBody(d.settings.Body))
-	server.Handler = d.parting(d.counters.count(handler))
+	server.Handler = d.parting(caller.NewHandler(d.table.Load, d.Route,
+		caller.WithMaxBody(d.settings.Body), caller.WithRefused(d.TurnedAway)))
 	return server
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fulmarrun/admission"
+	"fulmarrun/logs"
 )
 
 const (
@@ -29,7 +30,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.draining && f.beat.Life == life {
-			d.log.Info("target closed to new work", "instance", d.settings.Instance, "target", life.Name)
+			d.log.Info(logs.EventTargetClosed, logs.FieldTarget, life.Name)
 			d.gate.Report(admission.Health{Draining: true})
 		}
 	})
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -8,6 +8,7 @@
 
 	"fulmarrun/audit"
 	"fulmarrun/control"
+	"fulmarrun/logs"
 	"fulmarrun/peer"
 	"fulmarrun/routes"
 	"fulmarrun/storage"
@@ -55,13 +56,13 @@
 	case control.Drain:
 		i.spawn(i.drain)
 	case control.Skipped:
-		i.d.log.Warn("row skipped", "instance", i.self.Instance, "key", e.Key, "err", e.Err)
+		i.d.log.Warn(logs.EventRowSkipped, logs.FieldKey, e.Key, logs.FieldErr, e.Err)
 	case control.Closed:
 		i.closed = true
-		i.d.log.Warn("closed by a peer", "instance", i.self.Instance, "generation", i.self.Generation, "reason", e.Reason)
+		i.d.log.Warn(logs.EventClosed, logs.FieldGeneration, i.self.Generation, logs.FieldReason, e.Reason)
 	case control.Empty:
 		i.left = true
-		i.d.log.Info("left", "instance", i.self.Instance, "generation", i.self.Generation)
+		i.d.log.Info(logs.EventLeft, logs.FieldGeneration, i.self.Generation)
 	}
 }
 
@@ -90,7 +91,7 @@
 	out := storage.Settle(ctx, i.d.store, w.Transaction, written(w.Transaction))
 	if out.Verdict == storage.Unknown {
 		if ctx.Err() == nil {
-			i.d.log.Error("write rejected", "instance", i.self.Instance, "err", out.Err)
+			i.d.log.Error(logs.EventRejected, logs.FieldErr, out.Err)
 		}
 		return
 	}
@@ -117,7 +118,7 @@
 func (i *incarnation) record(e audit.Entry) {
 	e.At = time.Now().UTC()
 	i.d.add(e)
-	i.d.log.Info("change", "what", e.What, "who", e.Who, "subject", e.Subject, "from", e.From, "to", e.To, "why", e.Why)
+	i.d.log.Info(logs.EventChange, logs.FieldWhat, e.What, logs.FieldWho, e.Who, logs.FieldSubject, e.Subject, logs.FieldFrom, e.From, logs.FieldTo, e.To, logs.FieldWhy, e.Why)
 }
 
 // sendNews sends news to a peer, and once more what it wants instead.
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -67,6 +67,13 @@
 	return f
 }
 
+// lastHeard returns when the target was last heard of; the zero time if never.
+func (f *fetched) lastHeard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
 // fetchControl returns the options of the control state.
 func fetchControl() []control.Option {
 	return []control.Option{
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -15,6 +15,7 @@
 	"fulmarrun/clock"
 	"fulmarrun/control"
 	"fulmarrun/handover"
+	"fulmarrun/logs"
 	"fulmarrun/outcome"
 	"fulmarrun/owner"
 	"fulmarrun/routes"
@@ -132,11 +133,11 @@
 		case m := <-i.inbox:
 			i.step(m)
 		case reason := <-i.d.leave:
-			i.d.log.Info("leaving", "instance", i.self.Instance, "reason", reason)
+			i.d.log.Info(logs.EventLeaving, logs.FieldReason, reason)
 			overdue = time.After(i.d.settings.Drain)
 			i.step(control.LeaveAsked{Reason: reason})
 		case <-overdue:
-			i.d.log.Warn("leave not finished in time", "instance", i.self.Instance, "drain", i.d.settings.Drain)
+			i.d.log.Warn(logs.EventLeaveLate, logs.FieldDrain, i.d.settings.Drain)
 			i.left = true
 		}
 	}
@@ -183,7 +184,7 @@
 	now := clock.Now()
 	if m, renews := m.(renewMessage); renews {
 		i.renewed = true
-		i.d.log.Info("generation ends", "instance", i.self.Instance, "generation", i.self.Generation, "reason", m.reason)
+		i.d.log.Info(logs.EventRenewed, logs.FieldGeneration, i.self.Generation, logs.FieldReason, m.reason)
 		return
 	}
 	if loaded, ok := m.(configMessage); ok {
@@ -229,6 +230,11 @@
 		Domain: i.self.Domain, Snapshot: snapshot, Table: table, Closing: i.left, Alone: i.core.Alone(),
 	})
 	i.drop(lost)
+	i.d.noteMembers(i.snapshot, snapshot)
+	i.d.forgetPeers(snapshot)
+	if len(gained)+len(lost) > 0 {
+		i.d.log.Info(logs.EventSlots, logs.FieldGained, len(gained), logs.FieldLost, len(lost), logs.FieldOwned, len(i.held))
+	}
 	if i.d.fetched != nil {
 		i.ownRanges(snapshot)
 		i.snapshot = snapshot
@@ -236,9 +242,6 @@
 	}
 	slots, hot := i.grants(snapshot)
 	i.d.setGrants(i.self.Generation, slots, hot)
-	if len(gained)+len(lost) > 0 {
-		i.d.log.Info("slots changed", "instance", i.self.Instance, "gained", len(gained), "lost", len(lost), "owned", len(i.held))
-	}
 	i.snapshot = snapshot
 }
 
@@ -251,10 +254,10 @@
 		if i.d.leaving.Load() {
 			level = log.InfoLevel
 		}
-		i.d.log.Log(level, "lease lost", "instance", i.self.Instance, "generation", i.self.Generation)
+		i.d.log.Log(level, logs.EventLeaseLost, logs.FieldGeneration, i.self.Generation)
 	}
 	if !i.leased && leased {
-		i.d.log.Info("lease held", "instance", i.self.Instance, "generation", i.self.Generation)
+		i.d.log.Info(logs.EventLeaseHeld, logs.FieldGeneration, i.self.Generation)
 	}
 	i.leased = leased
 }
@@ -268,7 +271,7 @@
 			i.post(ctx, message(rows))
 			return
 		}
-		i.d.log.Warn("platform not read", "instance", i.self.Instance, "err", err)
+		i.d.log.Warn(logs.EventStoreUnread, logs.FieldErr, err)
 		if backoff.Wait(ctx) != nil {
 			return
 		}
--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -8,6 +8,7 @@
 
 	"fulmarrun/config"
 	"fulmarrun/control"
+	"fulmarrun/logs"
 	"fulmarrun/peer"
 	"fulmarrun/routes"
 	"fulmarrun/storage"
@@ -106,7 +107,7 @@
 			return
 		}
 		if err := d.fetchWhole(ctx, sender); err != nil {
-			d.log.Warn("configuration of a peer not taken", "instance", d.settings.Instance, "number", n.Number, "from", sender.Instance, "err", err)
+			d.log.Warn(logs.EventConfigNoPeer, logs.FieldNumber, n.Number, logs.FieldFrom, sender.Instance, logs.FieldErr, err)
 		}
 	})
 }
@@ -150,7 +151,7 @@
 	if err != nil {
 		return fmt.Errorf("parse configuration %d: %w", whole.Number, err)
 	}
-	d.log.Info("configuration taken from a peer", "instance", d.settings.Instance, "from", sender.Instance, "number", whole.Number)
+	d.log.Info(logs.EventConfigPeer, logs.FieldFrom, sender.Instance, logs.FieldNumber, whole.Number)
 	d.put(file, whole.Number, whole.Text)
 	return nil
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -47,6 +47,13 @@
 	return &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
 }
 
+// metricsServer answers with the metrics alone.
+func (d *Daemon) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+operator.PathMetrics, operator.Metrics(d.registry))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
 // ready tells whether the daemon should be sent callers.
 func (d *Daemon) ready() error {
 	standing := d.server.Standing()
--- a/daemon/relief.go
+++ b/daemon/relief.go
@@ -9,6 +9,7 @@
 	"fulmarrun/clock"
 	"fulmarrun/control"
 	"fulmarrun/handover"
+	"fulmarrun/logs"
 	"fulmarrun/routes"
 	"fulmarrun/storage"
 	"fulmarrun/wire"
@@ -39,9 +40,9 @@
 		now := clock.Now()
 		if late := now.Sub(at) - loadInterval; late > lateFrom {
 			stats := i.d.gate.Stats()
-			i.d.log.Warn("process runs late", "instance", i.self.Instance, "late", late,
-				"running", i.d.server.Running(), "inflight", stats.InFlight, "queued", stats.Queued,
-				"goroutines", runtime.NumGoroutine())
+			i.d.log.Warn(logs.EventLate, logs.FieldLate, late,
+				logs.FieldRunning, i.d.server.Running(), logs.FieldInFlight, stats.InFlight, logs.FieldWaiting, stats.Queued,
+				logs.FieldGoroutines, runtime.NumGoroutine())
 		}
 		if now.Before(next) {
 			continue
--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -11,6 +11,7 @@
 
 	"fulmarrun/control"
 	"fulmarrun/handover"
+	"fulmarrun/logs"
 	"fulmarrun/outcome"
 	"fulmarrun/peer"
 	"fulmarrun/routes"
@@ -78,7 +79,7 @@
 	defer cancel()
 	for _, move := range m.Moves {
 		if err := i.prepareUnit(ctx, m.Transfer, move); err != nil {
-			i.d.log.Warn("move given up", "instance", i.self.Instance, "slot", move.Slot, "err", err)
+			i.d.log.Warn(logs.EventMoveEnded, logs.FieldSlot, move.Slot, logs.FieldErr, err)
 			i.thaw(m)
 			i.post(i.ctx, control.MoveFailed{Move: m})
 			return
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -17,6 +17,8 @@
 	caller   net.Listener
 	target   net.Listener
 	operator net.Listener
+	// metrics is nil if the settings name no address for it.
+	metrics net.Listener
 }
 
 func (d *Daemon) bind() error {
@@ -32,7 +34,11 @@
 		{&d.listeners.caller, s.Caller, "callers"},
 		{&d.listeners.target, s.Target, "target"},
 		{&d.listeners.operator, s.Operator, "operators"},
+		{&d.listeners.metrics, s.Metrics, "metrics"},
 	} {
+		if b.to == &d.listeners.metrics && !b.addr.IsValid() {
+			continue
+		}
 		l, err := net.Listen("tcp", b.addr.String())
 		if err != nil {
 			d.unbind()
@@ -43,6 +49,9 @@
 	d.settings.Caller = addrOf(d.listeners.caller.Addr())
 	d.settings.Target = addrOf(d.listeners.target.Addr())
 	d.settings.Operator = addrOf(d.listeners.operator.Addr())
+	if d.listeners.metrics != nil {
+		d.settings.Metrics = addrOf(d.listeners.metrics.Addr())
+	}
 	return nil
 }
 
@@ -82,7 +91,7 @@
 
 func (d *Daemon) unbind() {
 	_ = d.datagrams.Close()
-	for _, l := range []net.Listener{d.listeners.peer, d.listeners.caller, d.listeners.target, d.listeners.operator} {
+	for _, l := range []net.Listener{d.listeners.peer, d.listeners.caller, d.listeners.target, d.listeners.operator, d.listeners.metrics} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarrun/clock"
+	"fulmarrun/logs"
 	"fulmarrun/storage"
 )
 
@@ -19,7 +20,7 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	end := clock.Now().Add(d.settings.Drain)
-	d.log.Info("stopping", "instance", d.settings.Instance, "drain", d.settings.Drain)
+	d.log.Info(logs.EventStopping, logs.FieldDrain, d.settings.Drain)
 	// Other members serve what needs no key.
 	d.server.RefuseUnkeyed(true)
 	_ = storage.Sleep(context.Background(), min(stopLinger, d.settings.Drain/2))
@@ -27,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(end))
 	defer cancel()
 	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.Warn("callers cut off", "instance", d.settings.Instance, "err", err)
+		d.log.Warn(logs.EventCutOff, logs.FieldErr, err)
 	}
 	for d.server.Running() > 0 && storage.Sleep(ctx, drainPoll) == nil {
 	}
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -9,6 +9,7 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/clock"
+	"fulmarrun/logs"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
 )
@@ -43,7 +44,7 @@
 	d.targetMu.Unlock()
 	if !before.seen || before.Address != a.Address || before.Checks != a.Checks {
 		d.client.Use(targethttp.Destination{Address: a.Address, Checks: a.Checks})
-		d.log.Info("target announced", "instance", d.settings.Instance, "address", a.Address, "checks", a.Checks)
+		d.log.Info(logs.EventTargetTold, logs.FieldAddress, a.Address, logs.FieldChecks, a.Checks)
 	}
 	if before.restarted(a, now) {
 		d.gate.Restart()
@@ -160,7 +161,7 @@
 		}
 		if present && !now {
 			d.gate.Pause()
-			d.log.Warn("target not heard of", "instance", d.settings.Instance)
+			d.log.Warn(logs.EventTargetSilent)
 		}
 		present = now
 		d.server.Expire()
--- /dev/null
+++ b/explain/line.go
@@ -0,0 +1,133 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/pkg/errors"
+
+	"fulmarrun/logs"
+)
+
+// maxLine bounds one line of a log, in bytes; longer ones are skipped.
+const maxLine = 1 << 20
+
+// Field is one key and value of a line.
+type Field struct {
+	Key, Value string
+}
+
+// Line is one event in the log of a process.
+type Line struct {
+	At time.Time
+	// Process is the instance that wrote the line, or the name of the file if the line
+	// does not say.
+	Process string
+	Event   string
+	Fields  []Field
+}
+
+// Get returns the value of a field; empty if it is not there.
+func (l *Line) Get(key string) string {
+	for _, f := range l.Fields {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// Read calls take with each line of a log, in its order, and returns how many could not
+// be read as one. Whatever stands before "time=" is left out, as collectors put it there.
+func Read(name string, r io.Reader, take func(Line)) (skipped int, err error) {
+	in := bufio.NewReaderSize(r, maxLine)
+	for {
+		text, err := in.ReadSlice('\n')
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			skipped++
+			if err := discardLine(in); err != nil {
+				return skipped, fmt.Errorf("read %s: %w", name, err)
+			}
+			continue
+		case err != nil && !errors.Is(err, io.EOF):
+			return skipped, fmt.Errorf("read %s: %w", name, err)
+		}
+		if line, ok := parse(name, text); ok {
+			take(line)
+		} else if len(bytes.TrimSpace(text)) > 0 {
+			skipped++
+		}
+		if err != nil {
+			return skipped, nil
+		}
+	}
+}
+
+// discardLine skips the rest of a line.
+func discardLine(in *bufio.Reader) error {
+	for {
+		_, err := in.ReadSlice('\n')
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err == nil, errors.Is(err, io.EOF):
+			return nil
+		default:
+			return fmt.Errorf("skip line: %w", err)
+		}
+	}
+}
+
+// parse reads one line; ok is false if it has no time or no event.
+func parse(name string, text []byte) (line Line, ok bool) {
+	start := bytes.Index(text, []byte("time="))
+	if start < 0 {
+		return Line{}, false
+	}
+	line.Process = name
+	decoder := logfmt.NewDecoder(bytes.NewReader(text[start:]))
+	if !decoder.ScanRecord() {
+		return Line{}, false
+	}
+	for decoder.ScanKeyval() {
+		key, value := string(decoder.Key()), string(decoder.Value())
+		switch key {
+		case "time":
+			at, err := time.Parse(time.RFC3339Nano, value)
+			if err != nil {
+				return Line{}, false
+			}
+			line.At = at
+		case "msg":
+			line.Event = value
+		case "level":
+		case logs.FieldInstance:
+			line.Process = value
+		default:
+			line.Fields = append(line.Fields, Field{Key: key, Value: value})
+		}
+	}
+	return line, decoder.Err() == nil && !line.At.IsZero() && line.Event != ""
+}
+
+// String returns the event and its fields.
+func (l *Line) String() string {
+	var b strings.Builder
+	b.WriteString(l.Event)
+	for _, f := range l.Fields {
+		if f.Key == logs.FieldID || f.Value == "" {
+			continue
+		}
+		value := f.Value
+		if strings.ContainsAny(value, " =\"") {
+			value = fmt.Sprintf("%q", value)
+		}
+		b.WriteString("  " + f.Key + "=" + value)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/explain/story_test.go
@@ -0,0 +1,74 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"fulmarrun/explain"
+)
+
+const ingress = `time=2026-06-24T10:00:00Z level=info msg="lease held" instance=a-1 generation=aa
+time=2026-06-24T10:00:05Z level=info msg="lease lost" instance=a-1 generation=aa
+time=2026-06-24T10:00:06Z level=info msg="configuration in force" instance=a-1 number=7
+time=2026-06-24T10:00:07Z level=info msg="member known" instance=a-1 member=b-1
+time=2026-06-24T10:00:07Z level=info msg="member known" instance=a-1 member=c-1
+time=2026-06-24T10:00:08.25Z level=info msg="try failed" instance=a-1 id=r1 to=b-1 reason=full
+time=2026-06-24T10:00:08.5Z level=info msg="request without an answer" instance=a-1 id=r1 reason=full
+time=2026-06-24T10:00:08.6Z level=info msg="request without an answer" instance=a-1 id=r2 reason=full
+time=2026-06-24T10:00:09Z level=info msg="lease held" instance=a-1 generation=aa
+`
+
+// owner has what a collector puts before each line, and one that is no event.
+const owner = `  0.1 b-1 time=2026-06-24T10:00:08.2Z level=info msg="request not served here" instance=b-1 id=r1 reason=full err="a = \"b\""
+panic: not an event
+  0.1 b-1 time=2026-06-24T10:00:08.1Z level=info msg="target met" instance=b-1 target=t
+`
+
+func TestStory(t *testing.T) {
+	for _, tc := range []struct {
+		id, want string
+	}{
+		{"r1", `request r1: 3 lines of 2 processes
+10:00:08.200  b-1  request not served here  reason=full  err="a = \"b\""
+10:00:08.250  a-1  try failed  to=b-1  reason=full
+10:00:08.500  a-1  request without an answer  reason=full
+
+what b-1 believed then, and how old that was:
+       100ms  target met  target=t
+
+what a-1 believed then, and how old that was:
+       3.25s  lease lost  generation=aa
+       2.25s  configuration in force  number=7
+       1.25s  member known  member=b-1
+
+1 lines of the logs could not be read
+`},
+		{"r3", "request r3: 0 lines of 0 processes\n\n1 lines of the logs could not be read\n"},
+	} {
+		teller := explain.NewTeller(tc.id)
+		for name, text := range map[string]string{"a.log": ingress, "b.log": owner} {
+			if err := teller.Read(name, strings.NewReader(text)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var out strings.Builder
+		if err := teller.Story().Write(&out); err != nil {
+			t.Fatal(err)
+		}
+		if out.String() != tc.want {
+			t.Errorf("got\n%s\nwant\n%s", out.String(), tc.want)
+		}
+	}
+}
+
+// TestLongLine checks that a line that is longer than any event is skipped whole.
+func TestLongLine(t *testing.T) {
+	text := "time=2026-06-24T10:00:00Z msg=" + strings.Repeat("x", 3<<20) + " id=r1\n" + ingress
+	teller := explain.NewTeller("r1")
+	if err := teller.Read("a.log", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if s := teller.Story(); len(s.Lines) != 2 || s.Skipped != 1 {
+		t.Errorf("%d lines, %d skipped", len(s.Lines), s.Skipped)
+	}
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -68,6 +68,26 @@
 	return func(f *Forwarder) { f.once, f.patience = true, 0 }
 }
 
+// WithObserver is a functional option that names what is told of each try at its end.
+// It must not block.
+func WithObserver(observe func(Try)) Option {
+	return func(f *Forwarder) { f.observe = observe }
+}
+
+// Try is the end of one try of a request at one daemon.
+type Try struct {
+	Request *wire.Request
+	To      *routes.Owner
+	// Epoch is that of the route; zero if the request is not keyed.
+	Epoch uint64
+	// Left is what was left of the request's wait at the start.
+	Left time.Duration
+	Took time.Duration
+	// Response is nil if there was none, and Err says why.
+	Response *wire.Response
+	Err      error
+}
+
 // Forwarder routes requests. It is safe for concurrent use.
 type Forwarder struct {
 	own     *owner.Server
@@ -76,7 +96,8 @@
 	// patience bounds how long a request waits for its key to be owned.
 	patience time.Duration
 	// once is true if a keyed request is tried once only.
-	once bool
+	once    bool
+	observe func(Try)
 
 	mu sync.Mutex
 	// budgets are by service.
@@ -89,6 +110,7 @@
 func NewForwarder(own *owner.Server, peers *peer.Client, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		own: own, budgets: make(map[string]*admission.Budget), pools: make(map[string]*pool), patience: ownerPatience,
+		observe: func(Try) {},
 	}
 	f.call = func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 		return peer.Call[wire.Response](ctx, peers, to.Peer, peer.KindRequest, req)
@@ -154,10 +176,20 @@
 	if try.Wait <= 0 {
 		return nil, fmt.Errorf("no time left: %w", peer.ErrNotSent)
 	}
+	began := time.Now()
+	response, err := f.deliver(ctx, to, &try)
+	f.observe(Try{
+		Request: req, To: to, Epoch: epoch, Left: try.Wait, Took: time.Since(began), Response: response, Err: err,
+	})
+	return response, err
+}
+
+// deliver has a daemon serve the request, which may be this one.
+func (f *Forwarder) deliver(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 	if to.Generation == f.own.Standing().Generation {
-		return f.own.Serve(ctx, &try), nil
+		return f.own.Serve(ctx, req), nil
 	}
-	return f.call(ctx, to, &try)
+	return f.call(ctx, to, req)
 }
 
 // notBegun tells whether the error of a call says that the peer has not begun it.
@@ -165,6 +197,9 @@
 	return errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrRefused)
 }
 
+// Unreached tells whether the error of a try says that the daemon could not be reached.
+func Unreached(err error) bool { return errors.Is(err, peer.ErrNotSent) }
+
 // ended returns the final answer to a request whose time is over, or whose
 // caller has gone.
 func ended(ctx context.Context, begun bool) *wire.Response {
--- /dev/null
+++ b/histogram/sample_test.go
@@ -0,0 +1,47 @@
+package histogram_test
+
+import (
+	"testing"
+	"time"
+
+	"fulmarrun/histogram"
+)
+
+func TestSample(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := histogram.NewSample(histogram.WithPeriod(time.Second), histogram.WithClock(func() time.Time { return now }))
+	const most = int64(histogram.Greatest / histogram.Least)
+	for _, step := range []struct {
+		after       time.Duration
+		values      []int64
+		size        int
+		count, sum  int64
+		median, max float64
+	}{
+		{0, []int64{10, 20, 30}, 3, 3, 60, 20, 30},
+		{time.Second, []int64{50}, 4, 4, 110, 20, 50},
+		{time.Second, nil, 1, 4, 110, 50, 50},
+		{time.Second, []int64{0, -5}, 2, 6, 112, 1, 1},
+		{10 * time.Second, []int64{2 * most}, 1, 7, 112 + most, float64(most), float64(most)},
+		{10 * time.Second, nil, 0, 7, 112 + most, 0, 0},
+	} {
+		now = now.Add(step.after)
+		for _, v := range step.values {
+			s.Update(v * int64(histogram.Least))
+		}
+		if s.Size() != step.size || s.Count() != step.count || s.Sum() != step.sum*int64(histogram.Least) {
+			t.Errorf("at %v: size %d, count %d, sum %d", now, s.Size(), s.Count(), s.Sum())
+		}
+		// Two digits keep a value to one part in a hundred.
+		if got := s.Percentile(0.5) / float64(histogram.Least); got < step.median || got > step.median*1.01 {
+			t.Errorf("at %v: median %v, want %v", now, got, step.median)
+		}
+		if got := float64(s.Max()) / float64(histogram.Least); got < step.max || got > step.max*1.01 {
+			t.Errorf("at %v: max %v, want %v", now, got, step.max)
+		}
+	}
+	s.Clear()
+	if s.Count() != 0 || s.Mean() != 0 {
+		t.Errorf("count %d, mean %v after Clear", s.Count(), s.Mean())
+	}
+}
--- a/operator/export.go
+++ b/operator/export.go
@@ -21,13 +21,15 @@
 // A counter and a meter become a counter with the suffix _total, and a meter's
 // rate over a minute a gauge with the suffix _rate. A histogram becomes a
 // summary, and a timer one in seconds with the suffix _seconds; there is no
-// _sum, since the registry knows that of a sample only.
+// _sum, since the registry knows that of a sample only. A name that Labelled made
+// keeps its labels.
 func Export(w io.Writer, r metrics.Registry) error {
 	found := map[string]any{}
 	r.Each(func(name string, metric any) { found[name] = metric })
 	e := &exporter{w: bufio.NewWriter(w)}
 	for _, name := range slices.Sorted(maps.Keys(found)) {
-		e.metric(metricName(name), found[name])
+		base, labels, _ := strings.Cut(name, "{")
+		e.metric(metricName(base), strings.TrimSuffix(labels, "}"), found[name])
 	}
 	if err := e.w.Flush(); err != nil {
 		return fmt.Errorf("export metrics: %w", err)
@@ -35,44 +37,80 @@
 	return nil
 }
 
+// Labelled returns the name of a metric with labels, given as names and values in turn.
+func Labelled(name string, labels ...string) string {
+	var b strings.Builder
+	b.WriteString(name)
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteByte("{,"[min(i, 1)])
+		b.WriteString(labels[i] + "=" + strconv.Quote(labels[i+1]))
+	}
+	if len(labels) > 1 {
+		b.WriteByte('}')
+	}
+	return b.String()
+}
+
 // exporter writes single metrics.
 type exporter struct {
 	w *bufio.Writer
+	// typed is the name whose type was written last.
+	typed string
 }
 
-func (e *exporter) metric(name string, metric any) {
+func (e *exporter) metric(name, labels string, metric any) {
 	switch m := metric.(type) {
 	case metrics.Counter:
-		e.single(name+"_total", "counter", float64(m.Count()))
+		e.single(name+"_total", labels, "counter", float64(m.Count()))
 	case metrics.Gauge:
-		e.single(name, "gauge", float64(m.Value()))
+		e.single(name, labels, "gauge", float64(m.Value()))
 	case metrics.GaugeFloat64:
-		e.single(name, "gauge", m.Value())
+		e.single(name, labels, "gauge", m.Value())
 	case metrics.Meter:
 		s := m.Snapshot()
-		e.single(name+"_total", "counter", float64(s.Count()))
-		e.single(name+"_rate", "gauge", s.Rate1())
+		e.single(name+"_total", labels, "counter", float64(s.Count()))
+		e.single(name+"_rate", labels, "gauge", s.Rate1())
 	case metrics.Histogram:
 		s := m.Snapshot()
-		e.summary(name, s.Percentiles, s.Count(), 1)
+		e.summary(name, labels, s.Percentiles, s.Count(), 1)
 	case metrics.Timer:
 		s := m.Snapshot()
-		e.summary(name+"_seconds", s.Percentiles, s.Count(), 1/float64(time.Second))
+		e.summary(name+"_seconds", labels, s.Percentiles, s.Count(), 1/float64(time.Second))
 	}
 }
 
-func (e *exporter) single(name, kind string, value float64) {
-	_, _ = fmt.Fprintf(e.w, "# TYPE %s %s\n%s %s\n", name, kind, name, number(value))
+// kind writes the type of a metric before the first line about it.
+func (e *exporter) kind(name, kind string) {
+	if e.typed != name {
+		_, _ = fmt.Fprintf(e.w, "# TYPE %s %s\n", name, kind)
+		e.typed = name
+	}
+}
+
+func (e *exporter) single(name, labels, kind string, value float64) {
+	e.kind(name, kind)
+	_, _ = fmt.Fprintf(e.w, "%s%s %s\n", name, braced(labels), number(value))
 }
 
 // summary writes the quantiles, each multiplied by unit.
-func (e *exporter) summary(name string, percentiles func([]float64) []float64, count int64, unit float64) {
+func (e *exporter) summary(name, labels string, percentiles func([]float64) []float64, count int64, unit float64) {
 	quantiles := []float64{0.5, 0.9, 0.99, 0.999}
-	_, _ = fmt.Fprintf(e.w, "# TYPE %s summary\n", name)
+	e.kind(name, "summary")
 	for i, value := range percentiles(quantiles) {
-		_, _ = fmt.Fprintf(e.w, "%s{quantile=\"%s\"} %s\n", name, number(quantiles[i]), number(value*unit))
+		quantile := "quantile=" + strconv.Quote(number(quantiles[i]))
+		if labels != "" {
+			quantile = labels + "," + quantile
+		}
+		_, _ = fmt.Fprintf(e.w, "%s%s %s\n", name, braced(quantile), number(value*unit))
+	}
+	_, _ = fmt.Fprintf(e.w, "%s_count%s %d\n", name, braced(labels), count)
+}
+
+func braced(labels string) string {
+	if labels == "" {
+		return ""
 	}
-	_, _ = fmt.Fprintf(e.w, "%s_count %d\n", name, count)
+	return "{" + labels + "}"
 }
 
 func number(v float64) string {
--- a/operator/export_test.go
+++ b/operator/export_test.go
@@ -48,3 +48,33 @@
 		t.Errorf("got\n%s", out.String())
 	}
 }
+
+func TestExportLabels(t *testing.T) {
+	r := metrics.NewRegistry()
+	for _, kind := range []string{"book", `vis"it`} {
+		metrics.GetOrRegisterCounter(operator.Labelled("requests", "kind", kind, "outcome", "not-run"), r).Inc(1)
+		metrics.GetOrRegisterTimer(operator.Labelled("latency", "kind", kind), r).Update(time.Second)
+	}
+	var out strings.Builder
+	if err := operator.Export(&out, r); err != nil {
+		t.Fatal(err)
+	}
+	const want = `# TYPE fulmarrun_latency_seconds summary
+fulmarrun_latency_seconds{kind="book",quantile="0.5"} 1
+fulmarrun_latency_seconds{kind="book",quantile="0.9"} 1
+fulmarrun_latency_seconds{kind="book",quantile="0.99"} 1
+fulmarrun_latency_seconds{kind="book",quantile="0.999"} 1
+fulmarrun_latency_seconds_count{kind="book"} 1
+fulmarrun_latency_seconds{kind="vis\"it",quantile="0.5"} 1
+fulmarrun_latency_seconds{kind="vis\"it",quantile="0.9"} 1
+fulmarrun_latency_seconds{kind="vis\"it",quantile="0.99"} 1
+fulmarrun_latency_seconds{kind="vis\"it",quantile="0.999"} 1
+fulmarrun_latency_seconds_count{kind="vis\"it"} 1
+# TYPE fulmarrun_requests_total counter
+fulmarrun_requests_total{kind="book",outcome="not-run"} 1
+fulmarrun_requests_total{kind="vis\"it",outcome="not-run"} 1
+`
+	if out.String() != want {
+		t.Errorf("got\n%s", out.String())
+	}
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,6 +17,9 @@
 // DefaultMaxBody bounds a request to a Server, in bytes.
 const DefaultMaxBody = 16 << 20
 
+// PathMetrics is where metrics are served.
+const PathMetrics = "/metrics"
+
 // Paths of the protocol.
 const (
 	pathApply  = "/apply"
@@ -90,7 +93,7 @@
 	s.mux.HandleFunc("GET "+pathKey, func(w http.ResponseWriter, r *http.Request) {
 		get(w, r, parseKey, s.Key)
 	})
-	s.mux.HandleFunc("GET /metrics", s.serveMetrics)
+	s.mux.Handle("GET "+PathMetrics, Metrics(s.registry))
 	s.mux.HandleFunc("GET /healthz", s.serveHealth)
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
 	return s
@@ -101,9 +104,12 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	_ = Export(w, s.registry)
+// Metrics returns a handler that answers with the metrics of r.
+func Metrics(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		_ = Export(w, r)
+	})
 }
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
--- a/owner/server.go
+++ b/owner/server.go
@@ -31,6 +31,19 @@
 	// could wait.
 	ReasonMoving = "moving"
 
+	// ReasonStopped says that the daemon is to stop.
+	ReasonStopped = "stopped"
+	// ReasonElsewhere says that the target may not serve the kind, or serves another
+	// service.
+	ReasonElsewhere = "elsewhere"
+	// ReasonOwned says that another generation owns the key.
+	ReasonOwned = "owned"
+	// ReasonLease says that the lease has run out.
+	ReasonLease = "lease"
+	// ReasonGrant says that the target has not been granted the key yet, or that the
+	// grant is taken back.
+	ReasonGrant = "grant"
+
 	// leaseRetry is when to come back to an owner without a lease: a take-over
 	// is over by then.
 	leaseRetry = time.Second
@@ -62,6 +75,24 @@
 	return func(s *Server) { s.granted, s.refute = granted, refute }
 }
 
+// WithObserver is a functional option that names what is told of each request at its
+// end. It must not block.
+func WithObserver(observe func(Served)) Option {
+	return func(s *Server) { s.observe = observe }
+}
+
+// Served is the end of a request at this daemon.
+type Served struct {
+	Request  *wire.Request
+	Response *wire.Response
+	// Aim is the time within which an answer is worth most; zero if not said.
+	Aim time.Duration
+	// Took is how long the request was here, and Queued how much of that it waited
+	// for admission.
+	Took   time.Duration
+	Queued time.Duration
+}
+
 // Server runs requests at the target beside this daemon.
 type Server struct {
 	gate   *admission.Gate
@@ -73,6 +104,7 @@
 	// granted is nil if the target holds whatever is owned here.
 	granted func(slot uint32) bool
 	refute  func(slot uint32)
+	observe func(Served)
 
 	ledger atomic.Pointer[outcome.Ledger]
 
@@ -86,7 +118,7 @@
 
 // NewServer returns a server that refuses everything until Publish.
 func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.Hot, opts ...Option) *Server {
-	s := &Server{gate: gate, units: units, hot: hot, rates: handover.NewRates(), lease: newLeaseClock(clock.Now)}
+	s := &Server{gate: gate, units: units, hot: hot, rates: handover.NewRates(), lease: newLeaseClock(clock.Now), observe: func(Served) {}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -162,23 +194,34 @@
 func (s *Server) Serve(ctx context.Context, req *wire.Request) *wire.Response {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	began := time.Now()
 	standing := s.standing.Load()
 	kind := kindOf(standing, req)
 	if kind == nil {
 		return wire.Refuse(ReasonKind, leaseRetry)
 	}
-	if s.stopped.Load() || req.Service != standing.Service || !kind.Serves(standing.Domain, standing.Instance) {
-		return wire.Misrouted()
+	j := &job{req: req, kind: kind, lease: context.Background()}
+	response := s.serve(ctx, j, standing)
+	s.observe(Served{Request: req, Response: response, Aim: kind.Aim, Took: time.Since(began), Queued: j.queued})
+	return response
+}
+
+func (s *Server) serve(ctx context.Context, j *job, standing *Standing) *wire.Response {
+	if s.stopped.Load() {
+		return misrouted(ReasonStopped)
+	}
+	if j.req.Service != standing.Service || !j.kind.Serves(standing.Domain, standing.Instance) {
+		return misrouted(ReasonElsewhere)
 	}
-	ctx, cancel := within(ctx, req.Wait)
+	ctx, cancel := within(ctx, j.req.Wait)
 	defer cancel()
-	if !kind.Keyed() {
-		if s.refuseUnkeyed.Load() {
-			return wire.Refuse(admission.ReasonDraining, leaseRetry)
-		}
-		return s.run(ctx, &job{req: req, kind: kind, lease: context.Background()})
+	if j.kind.Keyed() {
+		return s.serveKeyed(ctx, j)
 	}
-	return s.serveKeyed(ctx, req, kind)
+	if s.refuseUnkeyed.Load() {
+		return wire.Refuse(admission.ReasonDraining, leaseRetry)
+	}
+	return s.run(ctx, j)
 }
 
 // kindOf returns the kind of a request: as its terms have it, or by name; nil if
@@ -210,20 +253,24 @@
 }
 
 // serveKeyed enters the unit of the key, waiting while it changes hands.
-func (s *Server) serveKeyed(ctx context.Context, req *wire.Request, kind *config.Kind) *wire.Response {
+func (s *Server) serveKeyed(ctx context.Context, j *job) *wire.Response {
 	s.runningKeyed.Add(1)
 	defer s.runningKeyed.Add(-1)
+	req, kind := j.req, j.kind
 	for {
 		standing := s.standing.Load()
 		route, ok := standing.Snapshot.Lookup(req.Service, req.Key)
 		if !owns(standing, route, ok) {
-			return wire.Misrouted()
+			return misrouted(ReasonOwned)
 		}
 		if standing.Alone {
 			return unheard(req, kind, ReasonAlone)
 		}
-		if !s.lease.valid() || s.granted != nil && !s.granted(route.Slot) {
-			return wire.Misrouted()
+		if !s.lease.valid() {
+			return misrouted(ReasonLease)
+		}
+		if s.granted != nil && !s.granted(route.Slot) {
+			return misrouted(ReasonGrant)
 		}
 		unit := unitOf(req, route)
 		wait := s.units.Enter(unit)
@@ -233,7 +280,7 @@
 				continue
 			}
 			defer s.units.Leave(unit)
-			return s.confirm(s.serveUnit(ctx, req, kind, unit, route))
+			return s.confirm(s.serveUnit(ctx, j, unit, route))
 		}
 		if s.noWait {
 			return unheard(req, kind, ReasonMoving)
@@ -261,11 +308,18 @@
 // owner without a lease cannot know what its successor has run.
 func (s *Server) confirm(r *wire.Response) *wire.Response {
 	if r.Outcome == wire.OutcomeNotRun && !s.lease.valid() {
-		return wire.Misrouted()
+		return misrouted(ReasonLease)
 	}
 	return r
 }
 
+// misrouted has the sender route the request again; the reason is for the log.
+func misrouted(reason string) *wire.Response {
+	r := wire.Misrouted()
+	r.Reason = reason
+	return r
+}
+
 func owns(standing *Standing, route routes.Route, ok bool) bool {
 	return ok && !standing.Closing && route.Owner != nil && route.Owner.Generation == standing.Generation
 }
@@ -285,19 +339,15 @@
 
 // serveUnit runs a keyed request in its unit; one that may not be repeated goes
 // through the memory of request IDs.
-func (s *Server) serveUnit(ctx context.Context, req *wire.Request, kind *config.Kind,
-	unit outcome.Unit, route routes.Route,
-) *wire.Response {
-	s.hot.Observe(req.Key, rand.Uint64())
+func (s *Server) serveUnit(ctx context.Context, j *job, unit outcome.Unit, route routes.Route) *wire.Response {
+	s.hot.Observe(j.req.Key, rand.Uint64())
 	s.rates.Observe(route.Slot)
-	j := &job{
-		req: req, kind: kind, unit: unit, lease: s.runningLease(),
-		fence: targethttp.Fence{
-			Service: req.Service, Slot: route.Slot, Epoch: route.Epoch,
-			Generation: route.Owner.Generation,
-		},
+	j.unit, j.lease = unit, s.runningLease()
+	j.fence = targethttp.Fence{
+		Service: j.req.Service, Slot: route.Slot, Epoch: route.Epoch,
+		Generation: route.Owner.Generation,
 	}
-	if kind.Remembered() {
+	if j.kind.Remembered() {
 		return s.runOnce(ctx, j)
 	}
 	return s.run(ctx, j)
@@ -320,14 +370,18 @@
 	fence targethttp.Fence
 	// lease ends when the lease that the request is admitted under has lapsed.
 	lease context.Context
+	// queued is how long it waited for admission.
+	queued time.Duration
 }
 
 // run passes admission and hands the request to the target.
 func (s *Server) run(ctx context.Context, j *job) *wire.Response {
 	deadline, _ := ctx.Deadline()
+	came := time.Now()
 	permit, recalled, err := s.admit(ctx, j, deadline)
+	j.queued += time.Since(came)
 	if recalled {
-		return wire.Misrouted()
+		return misrouted(ReasonMoving)
 	}
 	if err != nil {
 		return s.refused(j, err)
@@ -403,7 +457,7 @@
 func (s *Server) refused(j *job, err error) *wire.Response {
 	response := refusal(err)
 	if s.granted != nil && j.fence.Epoch > 0 && response.Reason == admission.ReasonDraining {
-		return wire.Misrouted()
+		return misrouted(admission.ReasonDraining)
 	}
 	return response
 }
--- a/routes/snapshot.go
+++ b/routes/snapshot.go
@@ -196,6 +196,11 @@
 // Owner returns an open generation, or nil.
 func (s *Snapshot) Owner(g wire.Generation) *Owner { return s.owners[g] }
 
+// SameOwners reports whether both have the same members in the same states.
+func (s *Snapshot) SameOwners(other *Snapshot) bool {
+	return other != nil && s.changes == other.changes
+}
+
 // Changed is closed when a newer snapshot has taken the place of this one.
 func (s *Snapshot) Changed() <-chan struct{} { return s.changed }
 
--- a/storage/track.go
+++ b/storage/track.go
@@ -8,10 +8,22 @@
 	"github.com/pkg/errors"
 )
 
+// TrackOption configures Track.
+type TrackOption func(*tracker)
+
+// WithChange is a functional option that names what is called when a call has no answer
+// after one that had, with its error, and with nil when calls are answered again.
+func WithChange(changed func(error)) TrackOption {
+	return func(t *tracker) { t.changed = changed }
+}
+
 // Track returns a store that passes all calls on to s and whose Answered tells
 // when one of them was last answered, by the clock now.
-func Track(s *Store, now func() time.Time) *Store {
-	t := &tracker{now: now}
+func Track(s *Store, now func() time.Time, opts ...TrackOption) *Store {
+	t := &tracker{now: now, changed: func(error) {}}
+	for _, opt := range opts {
+		opt(t)
+	}
 	return &Store{
 		Get: func(ctx context.Context, key string) (Row, error) {
 			row, err := s.Get(ctx, key)
@@ -44,13 +56,23 @@
 type tracker struct {
 	now func() time.Time
 	at  atomic.Pointer[time.Time]
+	// silent is true while the last call had no answer.
+	silent  atomic.Bool
+	changed func(error)
 }
 
 // note records an answer if err is one, and returns err.
 func (t *tracker) note(err error) error {
 	if err != nil && !errors.Is(err, ErrMissing) && !errors.Is(err, ErrRejected) {
+		// A call that its own caller has given up tells nothing.
+		if !errors.Is(err, context.Canceled) && !t.silent.Swap(true) {
+			t.changed(err)
+		}
 		return err
 	}
+	if t.silent.Swap(false) {
+		t.changed(nil)
+	}
 	now := t.now()
 	for {
 		old := t.at.Load()
