--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -122,7 +122,7 @@
 	s.reason = ""
 	latency := c.latency[s]
 	if latency == nil {
-		latency = metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NilMeter{})
+		latency = metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NewMeter())
 		c.latency[s] = latency
 		_ = c.registry.Register(operator.Labelled(metricLatency,
 			"service", s.service, "kind", s.kind, "outcome", s.outcome), latency)
--- a/histogram/sample.go
+++ b/histogram/sample.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	latency := metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NilMeter{})
+//	latency := metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NewMeter())
 //	latency.Update(took)
 //
 // Values are nanoseconds from [Least] to [Greatest], kept to two digits; shorter and
@@ -28,6 +28,8 @@
 	digits = 2
 	// defaultPeriod is how long values count fully for the quantiles.
 	defaultPeriod = 30 * time.Second
+	// quantiles is how many stand for the recent values in a snapshot.
+	quantiles = 100
 	// windows is how many periods the quantiles are taken over.
 	windows = 2
 )
@@ -185,9 +187,24 @@
 	return int(s.merged().TotalCount())
 }
 
-// Values returns nothing, since single values are not kept.
-func (s *Sample) Values() []int64 { return nil }
+// Values returns evenly spread quantiles of the recent values in their place, since
+// single values are not kept.
+func (s *Sample) Values() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := s.merged()
+	if recent.TotalCount() == 0 {
+		return nil
+	}
+	out := make([]int64, 0, quantiles)
+	for i := range quantiles {
+		const percent = 100
+		out = append(out, recent.ValueAtQuantile(percent*(float64(i)+0.5)/quantiles))
+	}
+	return out
+}
 
-// Snapshot returns s itself, which may go on changing: a copy would cost as much as
-// the histogram, and each figure is right by itself.
-func (s *Sample) Snapshot() metrics.Sample { return s }
+// Snapshot returns the count of all values with the quantiles of the recent ones.
+func (s *Sample) Snapshot() metrics.Sample {
+	return metrics.NewSampleSnapshot(s.Count(), s.Values())
+}
--- a/histogram/sample_test.go
+++ b/histogram/sample_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"fulmarrun/histogram"
 )
 
@@ -45,3 +47,18 @@
 		t.Errorf("count %d, mean %v after Clear", s.Count(), s.Mean())
 	}
 }
+
+// TestSnapshot checks that a timer over the sample can be copied, as reporters do.
+func TestSnapshot(t *testing.T) {
+	timer := metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NewMeter())
+	if p := timer.Snapshot().Percentile(0.5); p != 0 {
+		t.Errorf("median %v of nothing", p)
+	}
+	for i := range 1000 {
+		timer.Update(time.Duration(i+1) * time.Millisecond)
+	}
+	s := timer.Snapshot()
+	if p := time.Duration(s.Percentile(0.5)); s.Count() != 1000 || p < 490*time.Millisecond || p > 510*time.Millisecond {
+		t.Errorf("count %d, median %v", s.Count(), p)
+	}
+}
--- a/operator/export.go
+++ b/operator/export.go
@@ -71,11 +71,9 @@
 		e.single(name+"_total", labels, "counter", float64(s.Count()))
 		e.single(name+"_rate", labels, "gauge", s.Rate1())
 	case metrics.Histogram:
-		s := m.Snapshot()
-		e.summary(name, labels, s.Percentiles, s.Count(), 1)
+		e.summary(name, labels, m.Percentiles, m.Count(), 1)
 	case metrics.Timer:
-		s := m.Snapshot()
-		e.summary(name+"_seconds", labels, s.Percentiles, s.Count(), 1/float64(time.Second))
+		e.summary(name+"_seconds", labels, m.Percentiles, m.Count(), 1/float64(time.Second))
 	}
 }
 
