holds, forward: keys that change hands are served until the target is told, and waited for

A range that was to move was refused from when the move was planned, though the target held it until its next beat, up to 870 ms later; and a request waited for no longer than its aim, while a move takes a beat of the giver and one of the taker. The refusals all said to come back after the same second.

Change: a withheld slot counts as granted until the answer that leaves it out, less the time that work takes; a request waits for a move up to 1.2 s, or half of its wait; the refusal spreads the return over 250 to 750 ms. The time between beats is a setting.

Tests that fail first: TestWithheldIsServed, TestMovingKey.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -51,6 +51,7 @@
 	case holds.Current:
 	}
 	d.meet(now, beat)
+	f.book.Working(d.gate.Stats().Latency)
 	answer := f.book.Beat(now, &beat, d.server.LeaseUntil())
 	if s, ok := d.service(); !ok || !s.Ranged {
 		return holds.Answer{}, nil
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,12 +31,19 @@
 	// request.
 	ReasonLost = "lost"
 
+	// moveRetry is when to come back for a key that changes hands, before it is spread
+	// over half to one and a half of it.
+	moveRetry = 500 * time.Millisecond
 	// ownerRetry is when to come back for a key whose owner was lost.
 	ownerRetry = time.Second
 	// ownerPatience bounds how long a request waits for a key to be owned: a
 	// take-over is over by then, or does not come as long as the platform is
 	// down.
 	ownerPatience = 3 * time.Second
+	// movePatience bounds how long a request waits for a key that changes hands, where
+	// its kind has an aim: the giver's target lets go within 100 ms of being told, and
+	// the taker's asks what it is to hold about once a second.
+	movePatience = 1200 * time.Millisecond
 	// pause spares an owner that has just refused a connection or disowned a
 	// key, unless the routes change sooner.
 	pause = 50 * time.Millisecond
@@ -213,7 +221,11 @@
 // refuse returns the final answer to a request that nobody answered; begun tells
 // whether it may have run.
 func refuse(reason string, begun bool) *wire.Response {
-	r := wire.Refuse(reason, ownerRetry)
+	retry := ownerRetry
+	if reason == owner.ReasonMoving {
+		retry = moveRetry/2 + rand.N(moveRetry)
+	}
+	r := wire.Refuse(reason, retry)
 	if begun {
 		r.Outcome = wire.OutcomeUnknown
 	}
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -81,6 +81,13 @@
 	return k.f.patience
 }
 
+// movePatience is how long the request waits for a key that changes hands. That is
+// over soon, and an answer that comes late serves the caller better than a refusal, as
+// long as there is time to come back.
+func (k *keyed) movePatience() time.Duration {
+	return max(k.patience(), min(movePatience, k.req.Wait/2))
+}
+
 // try sends the request to the owner once. It returns nil if it is to be routed
 // again.
 func (k *keyed) try(ctx context.Context, snapshot *routes.Snapshot, route routes.Route) *wire.Response {
@@ -125,7 +132,11 @@
 	if k.unserved.IsZero() {
 		k.unserved = now
 	}
-	if k.f.once || k.kind.Aim > 0 && now.Sub(k.unserved) > k.patience() {
+	patience := k.patience()
+	if reason == owner.ReasonMoving {
+		patience = k.movePatience()
+	}
+	if k.f.once || k.kind.Aim > 0 && now.Sub(k.unserved) > patience {
 		return refuse(reason, k.asked || k.lost)
 	}
 	waitForRoutes(ctx, snapshot, wait)
--- a/forward/keyed_test.go
+++ b/forward/keyed_test.go
@@ -275,3 +275,44 @@
 		t.Error(fmt.Sprint(got.Outcome, shared.Outcome))
 	}
 }
+
+// TestMovingKey checks that a request whose aim is short waits for a key that changes
+// hands for longer than that, and is refused with time left to come back.
+func TestMovingKey(t *testing.T) {
+	const aim, wait = 50 * time.Millisecond, 1600 * time.Millisecond
+	for _, tc := range []struct {
+		name    string
+		moving  time.Duration
+		outcome wire.Outcome
+	}{
+		{"for longer than the aim", 400 * time.Millisecond, wire.OutcomeAnswered},
+		{"for ever", time.Hour, wire.OutcomeNotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			w.give(2, 1)
+			began := time.Now()
+			f := forward.NewForwarder(w.own, nil, forward.WithCall(
+				func(ctx context.Context, _ *routes.Owner, _ *wire.Request) (*wire.Response, error) {
+					if time.Since(began) < tc.moving {
+						return wire.Misrouted(), nil
+					}
+					return answered(ctx, w)
+				}))
+			kind := *w.kind("visit")
+			kind.Aim = aim
+			req := w.request(&kind, true)
+			req.Wait = wait
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			r := f.Route(ctx, &kind, req)
+			if r.Outcome != tc.outcome {
+				t.Fatalf("%v, reason %q", r.Outcome, r.Reason)
+			}
+			if tc.outcome == wire.OutcomeNotRun && (r.Reason != owner.ReasonMoving || r.RetryAfter <= 0 || r.RetryAfter > time.Second) {
+				t.Errorf("reason %q, come back after %v", r.Reason, r.RetryAfter)
+			}
+		})
+	}
+}
--- a/holds/book.go
+++ b/holds/book.go
@@ -15,6 +15,8 @@
 	slowClock = 1.02
 	// leaseMargin is kept between the end of a grant and that of the lease.
 	leaseMargin = 50 * time.Millisecond
+	// defaultInterval is the time between two beats of a target.
+	defaultInterval = time.Second
 	// shortest is the least time for which a grant is worth its answer.
 	shortest = 100 * time.Millisecond
 	// defaultRoom is the greatest size of an answer in bytes.
@@ -51,11 +53,18 @@
 	return func(b *Book) { b.room = bytes }
 }
 
+// WithInterval is a functional option that sets the time between two beats of a target.
+func WithInterval(d time.Duration) Option {
+	return func(b *Book) { b.interval = d }
+}
+
 // entry is what a Book knows of one slot.
 type entry struct {
 	Slot
 	// withheld is true while the slot is to be left out of answers.
 	withheld bool
+	// told is true once an answer has left it out.
+	told bool
 	// granted is when an answer last granted it, and until is when all that was
 	// granted of it has run out; zero if nothing was.
 	granted time.Time
@@ -71,10 +80,13 @@
 
 // Book is what the daemon has granted to the target beside it.
 type Book struct {
-	longest time.Duration
-	room    int
-	life    Life
-	last    uint64
+	longest  time.Duration
+	interval time.Duration
+	// work is how long the target takes for a request.
+	work time.Duration
+	room int
+	life Life
+	last uint64
 	// heard is when the latest beat of the life was received.
 	heard time.Time
 	// inherited is when all that was granted before this Book has run out.
@@ -86,7 +98,7 @@
 // NewBook returns a Book without slots. Whatever was granted before it, by another
 // Book for the same target, runs out at inherited.
 func NewBook(inherited time.Time, opts ...Option) *Book {
-	b := &Book{longest: defaultLongest, room: defaultRoom, inherited: inherited, slots: make(map[uint32]*entry)}
+	b := &Book{longest: defaultLongest, interval: defaultInterval, room: defaultRoom, inherited: inherited, slots: make(map[uint32]*entry)}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -102,7 +114,7 @@
 			b.slots[number] = e
 		}
 		if e.Epoch != slot.Epoch {
-			e.released, e.token, e.withheld = false, "", false
+			e.released, e.token, e.withheld, e.told = false, "", false, false
 		}
 		e.Slot = slot
 	}
@@ -162,6 +174,9 @@
 	if hold < shortest {
 		return Answer{}
 	}
+	for _, e := range b.slots {
+		e.told = e.withheld
+	}
 	return Answer{Given: true, Grants: b.grant(now, hold), For: hold.Truncate(time.Millisecond)}
 }
 
@@ -214,17 +229,20 @@
 // Withhold leaves a slot out of the answers from now on.
 func (b *Book) Withhold(number uint32) {
 	if e := b.slots[number]; e != nil && !e.withheld {
-		e.withheld, e.released, e.token = true, false, ""
+		e.withheld, e.told, e.released, e.token = true, false, false, ""
 	}
 }
 
 // Thaw has a slot granted again.
 func (b *Book) Thaw(number uint32) {
 	if e := b.slots[number]; e != nil {
-		e.withheld = false
+		e.withheld, e.told = false, false
 	}
 }
 
+// Working says how long the target takes for a request.
+func (b *Book) Working(d time.Duration) { b.work = d }
+
 // Dead says that the target's process has ended, so that it holds nothing.
 func (b *Book) Dead() {
 	for _, e := range b.slots {
@@ -260,8 +278,12 @@
 }
 
 // Granted tells whether the target has been told to hold a slot, and has not denied
-// it since.
+// it since. A slot that is withheld is still held until the answer that leaves it out;
+// it is given no more work from when that would not end before the next beat.
 func (b *Book) Granted(now time.Time, number uint32) bool {
 	e := b.slots[number]
-	return e != nil && !e.withheld && now.Before(e.until) && e.granted.After(e.refuted)
+	if e == nil || !now.Before(e.until) || !e.granted.After(e.refuted) {
+		return false
+	}
+	return !e.withheld || !e.told && now.Add(b.work).Before(b.heard.Add(b.interval))
 }
--- a/holds/book_test.go
+++ b/holds/book_test.go
@@ -195,6 +195,51 @@
 	}
 }
 
+// TestWithheldIsServed checks that a slot which is to change hands is given work until
+// the target is told, as far as that work ends before.
+func TestWithheldIsServed(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		then func(*target)
+		now  time.Duration
+		want bool
+	}{
+		{"held", func(*target) {}, 2 * second, true},
+		{"withheld", func(g *target) { g.book.Withhold(0) }, second, true},
+		{"withheld, and the next beat is near", func(g *target) { g.book.Withhold(0) }, 1700 * time.Millisecond, false},
+		{"withheld, and the next beat is overdue", func(g *target) { g.book.Withhold(0) }, 3 * second, false},
+		{"told", func(g *target) {
+			g.book.Withhold(0)
+			g.beat(t, at(2*second), at(9*second))
+		}, 2 * second, false},
+		{"an answer without a lease tells nothing", func(g *target) {
+			g.book.Withhold(0)
+			g.beat(t, at(2*second), time.Time{})
+		}, 2 * second, true},
+		{"thawed", func(g *target) {
+			g.book.Withhold(0)
+			g.beat(t, at(2*second), at(9*second))
+			g.book.Thaw(0)
+		}, 2 * second, true},
+		{"withheld once more", func(g *target) {
+			g.book.Withhold(0)
+			g.beat(t, at(2*second), at(9*second))
+			g.book.Thaw(0)
+			g.book.Withhold(0)
+		}, 2 * second, true},
+	} {
+		g := target{book: holds.NewBook(time.Time{}, holds.WithInterval(second))}
+		g.book.Own(owned(1))
+		g.beat(t, at(0), at(9*second))
+		g.beat(t, at(second), at(9*second))
+		g.book.Working(400 * time.Millisecond)
+		tc.then(&g)
+		if got := g.book.Granted(at(tc.now), 0); got != tc.want {
+			t.Errorf("%s: granted %v", tc.name, got)
+		}
+	}
+}
+
 // TestInherited checks that what an earlier process granted is waited for.
 func TestInherited(t *testing.T) {
 	g := target{book: holds.NewBook(at(3 * second))}
