platform: fewer calls to the store in large deployments

The platform keeps the configuration elsewhere, so that 172 of the reads find nothing, ever; and each daemon's feed ends after 5 to 10 s whatever their number.

Ruled out for now: a few followers of the feed in each domain, the others told by them. A configuration of 1,400 routes would cross several slow links and be parsed at each.

--- a/daemon/belief.go
+++ b/daemon/belief.go
@@ -16,7 +16,7 @@
 func (d *Daemon) belief() []any {
 	standing := d.server.Standing()
 	fields := []any{
-		logs.FieldGeneration, standing.Generation, logs.FieldMembers, len(standing.Snapshot.All()),
+		logs.FieldGeneration, standing.Generation, logs.FieldMembers, d.Members(),
 		logs.FieldConfig, d.configNumber(), logs.FieldConfigAge, since(d.configSince.Load()),
 		logs.FieldLease, max(0, clock.Until(d.server.LeaseUntil())), logs.FieldStoreAge, d.storeAge(),
 	}
@@ -65,7 +65,7 @@
 	gauge(metricQueued, func() int64 { return int64(d.gate.Stats().Queued) })
 	gauge(metricLimit, func() int64 { return int64(d.gate.Stats().Limit) })
 	gauge(metricConfig, func() int64 { return int64(d.configNumber()) })
-	gauge(metricMembers, func() int64 { return int64(len(d.server.Standing().Snapshot.All())) })
+	gauge(metricMembers, func() int64 { return int64(d.Members()) })
 	gauge(metricOwned, func() int64 { return int64(d.status().Slots) })
 	seconds(metricLease, func() time.Duration { return max(0, clock.Until(d.server.LeaseUntil())) })
 	seconds(metricStore, d.storeAge)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -246,7 +246,7 @@
 		d.addActor(ctx, g, d.audit.Run)
 	}
 	if d.outside.Config != nil {
-		d.addActor(ctx, g, func(ctx context.Context) error { return d.outside.Config(ctx, d.put) })
+		d.addActor(ctx, g, func(ctx context.Context) error { return d.outside.Config(ctx, d, d.put) })
 	}
 	if d.fetched != nil {
 		d.addActor(ctx, g, d.watchBeats)
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -280,7 +280,11 @@
 
 func (i *incarnation) list(ctx context.Context) ([]wire.Row, error) {
 	var out []wire.Row
-	for _, prefix := range []string{routes.MemberPrefix, routes.SlotsPrefix, routes.ConfigKey} {
+	prefixes := []string{routes.MemberPrefix, routes.SlotsPrefix}
+	if i.d.outside.Config == nil {
+		prefixes = append(prefixes, routes.ConfigKey)
+	}
+	for _, prefix := range prefixes {
 		after := ""
 		for {
 			page, err := i.d.store.List(ctx, prefix, after, listPage)
--- a/daemon/outside.go
+++ b/daemon/outside.go
@@ -20,10 +20,10 @@
 	Target func(*Daemon) http.Handler
 	// Operators returns the handler of operators and supervisors.
 	Operators func(*Daemon) http.Handler
-	// Config brings the configuration until ctx ends. It calls put with each whole
-	// one, under numbers that rise and are the same at all daemons, and as the text
-	// that Parse reads.
-	Config func(ctx context.Context, put func(file *config.File, number uint64, text []byte)) error
+	// Config brings the configuration of the daemon until ctx ends. It calls put with
+	// each whole one, under numbers that rise and are the same at all daemons, and as the
+	// text that Parse reads.
+	Config func(ctx context.Context, d *Daemon, put func(file *config.File, number uint64, text []byte)) error
 	// Parse reads the text of a configuration that another daemon has.
 	Parse func(text []byte) (*config.File, error)
 	// Dialect is how requests are put to the target; its Fill is nil for the
@@ -53,5 +53,8 @@
 // Table returns the configuration in force; nil before the first.
 func (d *Daemon) Table() *config.Table { return d.table.Load() }
 
+// Members returns how many daemons are known, this one included.
+func (d *Daemon) Members() int { return len(d.server.Standing().Snapshot.All()) }
+
 // Ready returns why the daemon should be sent no callers; nil if it should.
 func (d *Daemon) Ready() error { return d.ready() }
