--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -35,6 +35,7 @@
 	if !d.enforce(file, number, text) {
 		return
 	}
+	d.log.Info(logs.EventConfigForce, logs.FieldNumber, number)
 	d.chill()
 	if i := d.current.Load(); i != nil {
 		i.post(i.ctx, *d.loaded.Load())
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -21,6 +21,8 @@
 	slowShare = 2
 	// maxText bounds what a line repeats of a caller's own words, in bytes.
 	maxText = 128
+	// timeUnit is how exactly lines about requests tell times.
+	timeUnit = 10 * time.Microsecond
 	// noKind is the label of requests that were refused before their kind was known.
 	noKind = "none"
 )
@@ -121,7 +123,17 @@
 	}
 	line := append([]any{logs.FieldID, cut(id)}, fields()...)
 	line = append(line, d.belief()...)
-	d.log.Info(event, append(line, logs.FieldHidden, hidden)...)
+	d.log.Info(event, append(rounded(line), logs.FieldHidden, hidden)...)
+}
+
+// rounded rounds the times among the fields of a line.
+func rounded(fields []any) []any {
+	for i, f := range fields {
+		if t, ok := f.(time.Duration); ok {
+			fields[i] = t.Round(timeUnit)
+		}
+	}
+	return fields
 }
 
 // cut returns the beginning of a text that a caller chose.
