control: more ranges where many members share them

Owners with a single range (b-3, c-9, b-11) had all 16 in use and requests waiting: the hot keys, 60 to 200 next to each other, lie in one or two of 360 ranges of 182 keys, and one range has one owner.

Change: at the first assignment a service with ranges gets 48 for each member that shares it, if that is more than the 360 that it asks for. 42 targets get 2,016 ranges of 32 keys; a service of up to 7 targets stays as it was. An answer to a beat that has no room for all says so, and grants what still fits.

--- a/control/ranges_test.go
+++ b/control/ranges_test.go
@@ -245,3 +245,40 @@
 		t.Error("the row that can be read does not hold")
 	}
 }
+
+// TestSlotCount checks how many ranges a service is divided into at first.
+func TestSlotCount(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		slots, per, count uint32
+	}{
+		{"as many as the service asks for", 360, 0, 360},
+		{"few members", 360, 48, 360},
+		{"many members", 64, 48, 4 * 48},
+		{"more than there may be", 64, 10_000, 4096},
+	} {
+		planners := 0
+		for self := range 4 {
+			var others []wire.Row
+			for i := range 4 {
+				if i != self {
+					others = append(others, memberRow(memberOf(i, 4), 1))
+				}
+			}
+			core, now, _ := alone(self, others, control.WithRangesPerMember(tc.per))
+			core.Step(now, ranged(tc.slots))
+			w, _, ok := writes(core, now, 80, control.PurposePlan)
+			if !ok {
+				continue
+			}
+			planners++
+			var row wire.Slots
+			if err := wire.Decode(w.Transaction.Writes[0].Value, &row); err != nil || row.Count != tc.count {
+				t.Errorf("%s: %d ranges, want %d (%v)", tc.name, row.Count, tc.count, err)
+			}
+		}
+		if planners != 1 {
+			t.Errorf("%s: %d of 4 members assign slots", tc.name, planners)
+		}
+	}
+}
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -56,6 +56,9 @@
 	if s, ok := d.service(); !ok || !s.Ranged {
 		return holds.Answer{}, nil
 	}
+	if answer.Omitted > 0 {
+		d.noteBelief(logs.EventNoRoom, "", logs.FieldSlots, answer.Omitted)
+	}
 	return answer, nil
 }
 
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -22,6 +22,10 @@
 	// fetchGather is how long members must be unchanged before slots are assigned
 	// for the first time; a target's first beat comes within one second.
 	fetchGather = 2 * time.Second
+	// fetchRanges is how many ranges there are for each member: keys that are busy
+	// together lie next to each other, and one range has one owner. An answer has room
+	// for 366, so that all keys are granted while one of eight members lives.
+	fetchRanges = 48
 	// fetchRows is how many rows of slots one hand-over may take from.
 	fetchRows = 32
 )
@@ -80,6 +84,7 @@
 		control.WithSoleAddress(),
 		control.WithRowsPerMove(fetchRows),
 		control.WithGather(fetchGather),
+		control.WithRangesPerMember(fetchRanges),
 		control.WithLease(lease.WithTTL(fetchTTL), lease.WithBeat(fetchBeat), lease.WithMargin(fetchMargin)),
 	}
 }
--- a/holds/beat.go
+++ b/holds/beat.go
@@ -65,4 +65,6 @@
 	Grants []Grant
 	// For counts from when the beat was sent.
 	For time.Duration
+	// Omitted is how many slots are owned and not granted, as there is no room for them.
+	Omitted int
 }
--- a/holds/book.go
+++ b/holds/book.go
@@ -177,16 +177,16 @@
 	for _, e := range b.slots {
 		e.told = e.withheld
 	}
-	return Answer{Given: true, Grants: b.grant(now, hold), For: hold.Truncate(time.Millisecond)}
+	grants, omitted := b.grant(now, hold)
+	return Answer{Given: true, Grants: grants, For: hold.Truncate(time.Millisecond), Omitted: omitted}
 }
 
 // grant notes what an answer grants. If there is no room for all, what the target
-// holds already goes first.
-func (b *Book) grant(now time.Time, hold time.Duration) []Grant {
+// holds already goes first, and the number of those left out is returned.
+func (b *Book) grant(now time.Time, hold time.Duration) (out []Grant, omitted int) {
 	slots := slices.SortedFunc(maps.Values(b.slots), func(x, y *entry) int {
 		return cmp.Compare(x.First, y.First)
 	})
-	var out []Grant
 	room := b.room - answerBytes
 	for _, held := range []bool{true, false} {
 		var last *Grant
@@ -199,9 +199,11 @@
 				g.Token = e.Token
 			}
 			if last == nil || !last.extends(g) {
-				if room -= g.size(); room < 0 {
-					return out
+				if g.size() > room {
+					omitted++
+					continue
 				}
+				room -= g.size()
 				out = append(out, g)
 				last = &out[len(out)-1]
 			} else {
@@ -211,7 +213,7 @@
 			e.granted, e.until = now, now.Add(time.Duration(float64(hold)*slowClock))
 		}
 	}
-	return out
+	return out, omitted
 }
 
 // extends tells whether next goes on where g ends, under the same terms.
--- a/logs/events.go
+++ b/logs/events.go
@@ -40,6 +40,7 @@
 	EventTargetClosed  = "target closed to new work"
 	EventTargetTold    = "target announced"
 	EventTargetSilent  = "target not heard of"
+	EventNoRoom        = "no room to grant all slots"
 	EventBeatRefused   = "beat refused"
 	EventBeatLate      = "beat overtaken"
 
@@ -114,7 +115,7 @@
 	FieldService     = "service"     // service of a request or daemon
 	FieldSettings    = "settings"    // file of the settings
 	FieldSlot        = "slot"        // slot
-	FieldSlots       = "slots"       // requests that the target says it bears at once
+	FieldSlots       = "slots"       // requests that the target says it bears at once, or slots concerned
 	FieldStatus      = "status"      // status of the target's answer, or of the refusal; 0 if by outcome
 	FieldStoreAge    = "storeage"    // how long ago the store last answered
 	FieldSubject     = "subject"     // instance that a change is about
