peer: a daemon that is silent is noticed after 1.5 s

Nine machines lost power at 6 s. A request that goes out on the connection to such a machine may have run for all the sender knows, and the connection lasted until bytes had been unacknowledged for 3 s; all that time further requests went the same way.

Change: connections between daemons end after 1.5 s without acknowledgement; those to targets and to the store stay at 3 s. Ruled out: less than that, since links of 10 Mbit/s may hold packets up for over half a second while callers press.

Test that fails first: TestSilence.

--- a/peer/link.go
+++ b/peer/link.go
@@ -96,7 +96,7 @@
 	done := make(chan struct{})
 	l.dialing = done
 	go func() {
-		raw, err := tcp.NewDialer(dialTimeout).Dial("tcp", l.addr.String())
+		raw, err := tcp.NewDialer(dialTimeout, tcp.WithSilence(tcp.PeerSilence)).Dial("tcp", l.addr.String())
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		defer close(done)
--- a/peer/server.go
+++ b/peer/server.go
@@ -116,7 +116,7 @@
 			_ = conn.Close()
 			continue
 		}
-		tcp.Watch(conn)
+		tcp.Watch(conn, tcp.WithSilence(tcp.PeerSilence))
 		go s.serveConn(conn)
 	}
 }
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -33,32 +33,60 @@
 	userTimeout = 3 * time.Second
 )
 
+// PeerSilence is how long bytes to another daemon may stay unacknowledged. Daemons are
+// near each other, and each request that goes to one without power is lost; a second and
+// a half leaves room for three lost packets in a row.
+const PeerSilence = 1500 * time.Millisecond
+
+// Option configures a connection.
+type Option func(*options)
+
+type options struct {
+	silence time.Duration
+}
+
+// WithSilence is a functional option that sets how long sent bytes may stay
+// unacknowledged before the connection ends.
+func WithSilence(d time.Duration) Option {
+	return func(o *options) { o.silence = d }
+}
+
+func newOptions(opts []Option) options {
+	o := options{silence: userTimeout}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: idleProbe, Interval: probeInterval, Count: probeCount}
 }
 
 // NewDialer returns a dialer that gives up after the timeout, and whose connections
 // end a few seconds after the other side has gone silent.
-func NewDialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(), Control: control}
+func NewDialer(timeout time.Duration, opts ...Option) *net.Dialer {
+	o := newOptions(opts)
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(), Control: o.control}
 }
 
-func control(_, _ string, raw syscall.RawConn) error {
+func (o options) control(_, _ string, raw syscall.RawConn) error {
 	var failed error
-	err := raw.Control(func(fd uintptr) { failed = setUserTimeout(int(fd)) })
+	err := raw.Control(func(fd uintptr) { failed = o.setUserTimeout(int(fd)) })
 	if err != nil {
 		return err //nolint:wrapcheck // The dialer wraps it.
 	}
 	return failed
 }
 
-func setUserTimeout(fd int) error {
-	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+func (o options) setUserTimeout(fd int) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.silence.Milliseconds()))
 }
 
 // Watch has an accepted connection end a few seconds after the other side has gone
 // silent. A connection that is not TCP is left as it is.
-func Watch(conn net.Conn) {
+func Watch(conn net.Conn, opts ...Option) {
+	o := newOptions(opts)
 	c, ok := conn.(*net.TCPConn)
 	if !ok {
 		return
@@ -66,7 +94,7 @@
 	// A connection that has just ended takes no options; its reader sees that.
 	_ = c.SetKeepAliveConfig(keepAlive())
 	if raw, err := c.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = setUserTimeout(int(fd)) })
+		_ = raw.Control(func(fd uintptr) { _ = o.setUserTimeout(int(fd)) })
 	}
 }
 
--- a/tcp/tcp_test.go
+++ b/tcp/tcp_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"fulmarrun/tcp"
 )
 
@@ -71,3 +73,55 @@
 		t.Errorf("read %d bytes, %v", n, err)
 	}
 }
+
+// TestSilence checks how long sent bytes may stay unacknowledged.
+func TestSilence(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		opts []tcp.Option
+		want time.Duration
+	}{
+		{"default", nil, 3 * time.Second},
+		{"another daemon", []tcp.Option{tcp.WithSilence(tcp.PeerSilence)}, 1500 * time.Millisecond},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		dialed, err := tcp.NewDialer(time.Second, tc.opts...).DialContext(t.Context(), "tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		tcp.Watch(accepted, tc.opts...)
+		for _, conn := range []net.Conn{dialed, accepted} {
+			if got := userTimeout(t, conn); got != tc.want {
+				t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+			}
+			_ = conn.Close()
+		}
+		_ = l.Close()
+	}
+}
+
+func userTimeout(t *testing.T, conn net.Conn) time.Duration {
+	t.Helper()
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		t.Fatal("not TCP")
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := 0
+	if err := raw.Control(func(fd uintptr) {
+		value, _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(value) * time.Millisecond
+}
