daemon: a target whose domain is out gets nothing after the limit; 360 ranges again

Nothing but the move itself kept work away.

Change: four seconds after the daemon learns that its domain is out its target gets nothing more, moved or not; at once if the process starts so.

Ruled out: fewer rows for each move, as the limit would still rest on the store.

Test that fails first: TestOutWithoutMoves (the line that the target is closed never comes). The limit is a setting.

--- a/control/core.go
+++ b/control/core.go
@@ -91,13 +91,6 @@
 	return func(c *Core) { c.rowsPerMove = rows }
 }
 
-// WithRangesPerMember is a functional option that sets how many ranges a service with
-// ranges is divided into for each member that shares them at first, if that is more than
-// the service asks for.
-func WithRangesPerMember(ranges uint32) Option {
-	return func(c *Core) { c.rangesPerMember = ranges }
-}
-
 // WithGather is a functional option that sets how long members must be unchanged
 // before the slots of a service are assigned for the first time, so that those
 // that start together share them from the beginning.
@@ -117,8 +110,6 @@
 	soleAddress  bool
 	rowsPerMove  int
 	gather       time.Duration
-	// rangesPerMember is zero if a service has the slots that it asks for.
-	rangesPerMember uint32
 	// target is what the target beside the daemon last said.
 	target TargetChanged
 
--- a/control/plan.go
+++ b/control/plan.go
@@ -13,9 +13,6 @@
 // rowsPerPlan bounds the rows of slots that one transaction assigns.
 const rowsPerPlan = 16
 
-// maxRanges bounds the ranges of a service, each of 16 keys then.
-const maxRanges = 4096
-
 // planState is what a Core knows of its work as a planner.
 type planState struct {
 	// planning is true while a write of assignments is under way.
@@ -90,7 +87,7 @@
 		return nil
 	}
 	if first == nil {
-		return []routes.SlotsRow{c.fill(c.newRow(shape, c.slotCount(shape, len(takers)), 0), takers)}
+		return []routes.SlotsRow{c.fill(c.newRow(shape, shape.Slots, 0), takers)}
 	}
 	var out []routes.SlotsRow
 	for at := uint32(0); at < first.Count && len(out) < rowsPerPlan; at += routes.SlotsPerRow {
@@ -106,16 +103,6 @@
 	return out
 }
 
-// slotCount is how many slots a service is divided into for good: as many as it asks
-// for, or more ranges if there are many to share them, since keys that are busy together
-// lie close to each other.
-func (c *Core) slotCount(shape ServiceShape, takers int) uint32 {
-	if !shape.Ranged {
-		return shape.Slots
-	}
-	return max(shape.Slots, min(uint32(takers)*c.rangesPerMember, maxRanges))
-}
-
 func (c *Core) newRow(shape ServiceShape, count, first uint32) routes.SlotsRow {
 	return routes.SlotsRow{Slots: wire.Slots{
 		Service: shape.Name, Count: count, Ranged: shape.Ranged, First: first,
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -97,7 +97,7 @@
 		d.drain("the target drains", f.drainLimit-drainMargin)
 	case !f.gone:
 		f.draining = false
-		d.gate.Report(admission.Health{})
+		d.gate.Report(admission.Health{Draining: f.shut})
 		d.setIdle(false, "the target is there")
 	}
 }
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -22,10 +22,6 @@
 	// fetchGather is how long members must be unchanged before slots are assigned
 	// for the first time; a target's first beat comes within one second.
 	fetchGather = 2 * time.Second
-	// fetchRanges is how many ranges there are for each member: keys that are busy
-	// together lie next to each other, and one range has one owner. An answer has room
-	// for 366, so that all keys are granted while one of eight members lives.
-	fetchRanges = 48
 	// fetchRows is how many rows of slots one hand-over may take from.
 	fetchRows = 32
 )
@@ -41,8 +37,14 @@
 	gone bool
 	// draining is true from the moment that the target said that it drains or
 	// leaves, until it or another life takes work.
-	draining    bool
-	drainLimit  time.Duration
+	draining   bool
+	drainLimit time.Duration
+	// out is true while the failure domain is out of service, outTurn counts how often
+	// that has changed, and shut is true once the target is given nothing more for it.
+	out         bool
+	outTurn     int
+	shut        bool
+	outLimit    time.Duration
 	bookOptions []holds.Option
 	// idle is true while the target takes no work.
 	idle bool
@@ -57,13 +59,19 @@
 	return func(f *fetched) { f.drainLimit = d }
 }
 
+// WithOutLimit is a functional option that sets how long after a failure domain is taken
+// out of service its targets may still be given work.
+func WithOutLimit(d time.Duration) FetchOption {
+	return func(f *fetched) { f.outLimit = d }
+}
+
 // WithBook is a functional option that passes options to the grants.
 func WithBook(opts ...holds.Option) FetchOption {
 	return func(f *fetched) { f.bookOptions = append(f.bookOptions, opts...) }
 }
 
 func newFetched(opts []FetchOption) *fetched {
-	f := &fetched{idle: true, drainLimit: defaultDrainLimit}
+	f := &fetched{idle: true, drainLimit: defaultDrainLimit, outLimit: defaultOutLimit}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -84,7 +92,6 @@
 		control.WithSoleAddress(),
 		control.WithRowsPerMove(fetchRows),
 		control.WithGather(fetchGather),
-		control.WithRangesPerMember(fetchRanges),
 		control.WithLease(lease.WithTTL(fetchTTL), lease.WithBeat(fetchBeat), lease.WithMargin(fetchMargin)),
 	}
 }
--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -51,7 +51,9 @@
 		return false
 	}
 	table := config.NewTable(file, number)
+	first := d.table.Load() == nil
 	d.useTable(table)
+	d.watchOut(table, first)
 	d.loaded.Store(&configMessage{
 		ConfigLoaded: shapeOf(file, table), table: table, current: wire.Current{Number: number}, text: text,
 	})
