peer: nothing more is sent to a daemon that gives no sign of life

Change: a connection on which calls wait and that has been quiet for 150 ms is asked for a sign of life, which a daemon gives without running anything. While that stays unanswered for 400 ms, calls are not sent: other members are tried, and a keyed request waits or is refused as not run, with when to come back. What was sent before goes on waiting.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,7 @@
 
 	mu      sync.Mutex
 	waiters map[uint64]*waiter
+	pulse   pulse
 	dead    bool
 }
 
@@ -42,9 +44,17 @@
 		c.mu.Unlock()
 		return ErrNotSent
 	}
+	silent, ask := c.pulse.call(time.Now(), len(c.waiters))
+	if silent {
+		c.mu.Unlock()
+		return fmt.Errorf("%w: %w", ErrNotSent, errSilent)
+	}
 	c.waiters[id] = w
 	c.mu.Unlock()
 	err := c.writer.writeUnless(ctx, kind, id, q)
+	if ask && err == nil {
+		err = c.writer.write(kindPing, c.client.next.Add(1), &wire.Ack{})
+	}
 	switch {
 	case errors.Is(err, errEncode), errors.Is(err, errAbandoned):
 		c.forget(id)
@@ -93,6 +103,12 @@
 			c.fail(err)
 			return
 		}
+		c.mu.Lock()
+		c.pulse.heard(time.Now())
+		c.mu.Unlock()
+		if frame.Kind == kindPing|replyBit {
+			continue
+		}
 		w := c.client.opts.match(c, frame.ID)
 		if w == nil {
 			c.client.late.Add(1)
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -36,3 +37,15 @@
 		}
 	}
 }
+
+// Pulse is a pulse for tests.
+type Pulse struct{ p pulse }
+
+// NewPulse returns one that knows nothing.
+func NewPulse() *Pulse { return &Pulse{} }
+
+// Heard notes that something came from the peer.
+func (p *Pulse) Heard(now time.Time) { p.p.heard(now) }
+
+// Call is asked before a call.
+func (p *Pulse) Call(now time.Time, waiting int) (silent, ask bool) { return p.p.call(now, waiting) }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -36,6 +36,8 @@
 	KindNotice
 	// KindWhole asks for the configuration in force.
 	KindWhole
+	// kindPing asks for a sign of life, which is an Ack.
+	kindPing
 
 	// kindFailed, with the bit of a reply, answers a call that has no reply of its
 	// own; its body is an Ack that is true if the call had begun.
--- a/peer/server.go
+++ b/peer/server.go
@@ -253,6 +253,9 @@
 		c.cancel(frame.ID)
 		return nil, nil
 	}
+	if frame.Kind == kindPing {
+		return nil, c.writer.write(kindPing|replyBit, frame.ID, &wire.Ack{OK: true})
+	}
 	h := c.server.handlers[frame.Kind]
 	if h == nil {
 		return nil, fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
