--- a/cmd/fulmarstub/main.go
+++ b/cmd/fulmarstub/main.go
@@ -50,6 +50,7 @@
 type targetCommand struct {
 	Listen   address       `long:"listen" required:"yes" value-name:"IP:PORT" description:"Address to serve on"`
 	Daemon   address       `long:"daemon" required:"yes" value-name:"IP:PORT" description:"Where to announce"`
+	Announce address       `long:"announce" value-name:"IP:PORT" description:"Address to announce, if another than that to serve on"`
 	Name     string        `long:"name" required:"yes" description:"Name of the instance"`
 	Checks   bool          `long:"checks" description:"Check grants"`
 	Work     time.Duration `long:"work" description:"How long a request takes"`
@@ -64,6 +65,9 @@
 		targetstub.WithListen(c.Listen.AddrPort), targetstub.WithDaemon(c.Daemon.AddrPort),
 		targetstub.WithName(c.Name), targetstub.WithWork(c.Work), targetstub.WithCapacity(c.Capacity),
 	}
+	if c.Announce.IsValid() {
+		opts = append(opts, targetstub.WithAnnounced(c.Announce.AddrPort))
+	}
 	if c.Checks {
 		opts = append(opts, targetstub.WithChecks())
 	}
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -65,6 +65,9 @@
 	checks   bool
 	daemon   *process
 	stub     *process
+	// links are the proxies between the daemon and the store, and the target; nil if
+	// there are none.
+	toStore, toTarget *proxy
 }
 
 // deployment is a platform and some instances, each a process of its own.
@@ -77,6 +80,8 @@
 	file      string
 	// trace, if there is one, takes down each request and its runs.
 	trace *trace
+	// proxied is true if each instance has its links.
+	proxied bool
 }
 
 // fileSlots is the number of slots in file.
@@ -110,7 +115,13 @@
 
 func deployWith(t testing.TB, n int, checks bool, tr *trace) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), trace: tr}
+	return (&deployment{t: t, dir: t.TempDir(), trace: tr}).up(n, checks)
+}
+
+// up starts the platform and n instances, and applies the configuration.
+func (d *deployment) up(n int, checks bool) *deployment {
+	t := d.t
+	t.Helper()
 	d.store = d.address()
 	d.platform = d.start("fulmarstub", "platform", "--listen", d.store)
 	t.Cleanup(d.stop)
@@ -180,13 +191,18 @@
 		peer:   d.address(), caller: d.address(), operator: d.address(), target: d.address(), announce: d.address(),
 		checks: checks,
 	}
+	store := d.store
+	if d.proxied {
+		i.toStore, i.toTarget = newProxy(d.t, d.store), newProxy(d.t, i.target)
+		store = i.toStore.addr
+	}
 	i.settings = filepath.Join(d.dir, i.name+".json")
 	i.journal = filepath.Join(d.dir, i.name+".runs")
 	d.write(i.settings, fmt.Sprintf(`{
   "instance": %q, "service": "agenda", "region": "valle-central", "domain": %q,
   "peer": %q, "caller": %q, "target": %q, "operator": %q, "platform": %q,
   "drain": "10s", "log": "info",
-}`, i.name, i.domain, i.peer, i.caller, i.announce, i.operator, d.store))
+}`, i.name, i.domain, i.peer, i.caller, i.announce, i.operator, store))
 	d.instances = append(d.instances, i)
 	d.launch(i)
 	return i
@@ -205,6 +221,9 @@
 	if i.checks {
 		args = append(args, "--checks")
 	}
+	if i.toTarget != nil {
+		args = append(args, "--announce", i.toTarget.addr)
+	}
 	i.stub = d.start("fulmarstub", args...)
 }
 
--- a/targetstub/stub.go
+++ b/targetstub/stub.go
@@ -28,18 +28,20 @@
 
 // Stub is a target.
 type Stub struct {
-	name     string
-	daemon   netip.AddrPort
-	listen   netip.AddrPort
-	checks   bool
-	capacity int
-	coldest  int
-	warmup   time.Duration
-	work     time.Duration
-	shed     int
-	journal  io.Writer
-	interval time.Duration
-	now      func() time.Time
+	name   string
+	daemon netip.AddrPort
+	listen netip.AddrPort
+	// announced is the address to announce, if it is another.
+	announced netip.AddrPort
+	checks    bool
+	capacity  int
+	coldest   int
+	warmup    time.Duration
+	work      time.Duration
+	shed      int
+	journal   io.Writer
+	interval  time.Duration
+	now       func() time.Time
 
 	mux     *http.ServeMux
 	client  *http.Client
@@ -68,6 +70,10 @@
 // stub announces nothing.
 func WithDaemon(a netip.AddrPort) Option { return func(s *Stub) { s.daemon = a } }
 
+// WithAnnounced is a functional option that sets the address to announce, if it is
+// another than that which Run listens on.
+func WithAnnounced(a netip.AddrPort) Option { return func(s *Stub) { s.announced = a } }
+
 // WithListen is a functional option that sets the address that Run listens on;
 // by default a free port of 127.0.0.1.
 func WithListen(a netip.AddrPort) Option { return func(s *Stub) { s.listen = a } }
@@ -225,7 +231,11 @@
 func (s *Stub) Announcement() targethttp.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := targethttp.Announcement{Address: s.address, Checks: s.checks, State: targethttp.StateReady, Stamp: s.stamp()}
+	address := s.address
+	if s.announced.IsValid() {
+		address = s.announced
+	}
+	a := targethttp.Announcement{Address: address, Checks: s.checks, State: targethttp.StateReady, Stamp: s.stamp()}
 	switch {
 	case !s.left.IsZero():
 		a.State = targethttp.StateLeaving
