--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -284,3 +284,31 @@
 		}
 	})
 }
+
+// TestRefused checks that requests which are refused before they are routed are told of,
+// with their ID where they have one, and no others.
+func TestRefused(t *testing.T) {
+	type told struct {
+		id, reason string
+	}
+	var got []told
+	table := newTable(t)
+	h := caller.NewHandler(func() *config.Table { return table }, (&router{response: whole}).route,
+		caller.WithRefused(func(_ *http.Request, id string, r *wire.Response) { got = append(got, told{id, r.Reason}) }))
+	for _, tc := range []struct {
+		method, path, id string
+		refused          bool
+	}{
+		{http.MethodGet, "/agenda/visits/1", "a", false},
+		{http.MethodGet, "/nowhere", "b", true},
+		{http.MethodGet, "/agenda/visits/..", "c", true},
+	} {
+		got = nil
+		r := httptest.NewRequest(tc.method, tc.path, nil)
+		r.Header.Set(caller.HeaderIdempotencyKey, tc.id)
+		h.ServeHTTP(httptest.NewRecorder(), r)
+		if (len(got) == 1) != tc.refused || tc.refused && (got[0].id != tc.id || got[0].reason == "") {
+			t.Errorf("%s: told %v", tc.path, got)
+		}
+	}
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -107,7 +107,9 @@
 			line.Event = value
 		case "level":
 		case logs.FieldInstance:
-			line.Process = value
+			if value != "" {
+				line.Process = value
+			}
 		default:
 			line.Fields = append(line.Fields, Field{Key: key, Value: value})
 		}
