--- a/daemon/belief.go
+++ b/daemon/belief.go
@@ -21,7 +21,7 @@
 		logs.FieldLease, max(0, clock.Until(d.server.LeaseUntil())), logs.FieldStoreAge, d.storeAge(),
 	}
 	if d.fetched != nil {
-		fields = append(fields, "targetage", d.targetAge())
+		fields = append(fields, logs.FieldTargetAge, d.targetAge())
 	}
 	return fields
 }
@@ -86,7 +86,7 @@
 // noteBelief logs a change of what the process believes, of some subject, unless there
 // were too many of the event.
 func (d *Daemon) noteBelief(event, subject string, fields ...any) {
-	hidden, ok := d.requests.Allow(event, subject)
+	hidden, ok := d.sampler.Allow(event, subject)
 	if !ok {
 		d.counters.hidden.Inc(1)
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,8 +73,8 @@
 	applier  *operator.Applier
 	configs  *configs
 	counters *counters
-	// requests bounds the lines about requests and changes of belief.
-	requests *logs.Sampler
+	// sampler bounds the lines about requests and changes of belief.
+	sampler *logs.Sampler
 	// configSince is when the configuration in force was put in force.
 	configSince atomic.Pointer[time.Time]
 	// unreached has, by generation, since when daemons can't be reached; lostPeers is
@@ -122,7 +122,7 @@
 		log:      log.New(io.Discard),
 		registry: metrics.NewRegistry(),
 		units:    handover.NewUnits(),
-		requests: logs.NewSampler(requestLines),
+		sampler:  logs.NewSampler(requestLines),
 		peers:    peer.NewClient(peer.WithMaxFrame(answerBytes + frameSlack)),
 		leave:    make(chan string, 1),
 		grantNow: make(chan struct{}, 1),
