daemon: one that is closed by others while it leaves still stops

A request to leave is handed to the generation that lives at that time. If others have closed that one meanwhile, as after a pause, it ended as closed, the next one joined and knew of no request, and a second signal was none: the daemon went on for good, refusing unkeyed work.

Change: a generation that is closed while it leaves has left. Ruled out: handing the request on to the next generation, which would join only to leave.

Test that fails first: TestFaults, 'one is asked to stop while others close it' (34 s, then ended by its limit; passes now). Concerns fulmarrun run alone: on the users' platform a daemon stops without leaving.

--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -124,6 +124,7 @@
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	var overdue <-chan time.Time
+	leaves := false
 	for !i.closed && !i.left && !i.renewed {
 		select {
 		case <-ctx.Done():
@@ -134,14 +135,16 @@
 			i.step(m)
 		case reason := <-i.d.leave:
 			i.d.log.Info(logs.EventLeaving, logs.FieldReason, reason)
-			overdue = time.After(i.d.settings.Drain)
+			overdue, leaves = time.After(i.d.settings.Drain), true
 			i.step(control.LeaveAsked{Reason: reason})
 		case <-overdue:
 			i.d.log.Warn(logs.EventLeaveLate, logs.FieldDrain, i.d.settings.Drain)
 			i.left = true
 		}
 	}
-	return i.left, nil
+	// One that is closed while it leaves has nothing more to give away, and the next
+	// would not know that it was asked to.
+	return i.left || leaves && i.closed, nil
 }
 
 // end stops everything that ran for this generation.
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -41,6 +41,7 @@
 		{"replies of the platform are lost", lostReplies},
 		{"garbage comes to the ports of a daemon", garbage},
 		{"all instances are killed and started again", restartAll},
+		{"one is asked to stop while others close it", stopWhileClosed},
 	} {
 		if !t.Run(c.name, func(t *testing.T) { c.run(t, d) }) {
 			break
@@ -286,6 +287,26 @@
 	}
 }
 
+// stopWhileClosed has a daemon learn that it is to stop just before it learns that its
+// keys have been taken over.
+func stopWhileClosed(t *testing.T, d *deployment) {
+	d.balanced()
+	owner := d.owner("24")
+	other := d.other(owner)
+	owner.daemon.signal(syscall.SIGSTOP)
+	d.serves(other, "24")
+	owner.daemon.signal(syscall.SIGTERM)
+	owner.daemon.signal(syscall.SIGCONT)
+	select {
+	case <-owner.daemon.done:
+	case <-time.After(30 * time.Second):
+		t.Error("the daemon goes on although it was asked to stop")
+		owner.daemon.kill()
+	}
+	owner.stub.kill()
+	d.launch(owner)
+}
+
 // counts returns what an instance's target has run.
 func (i *instance) counts(t *testing.T) targetstub.Runs {
 	t.Helper()
