daemon: keys whose hand-over is lost are granted again

Before a move the slots are withheld from the target. Where the move can't be prepared they are granted again, but not where it was prepared and its write then lost, as when a domain is out and back while the store is away: nobody moved them any more, and they stayed withheld for good.

Ruled out: a target that does not fetch (its beats were 33 to 181 ms old), a lease that ran out (2.4 to 2.8 s left), the load of the machine (other keys of the same daemon were served).

Change: the end of a move grants whatever of it is still owned.

--- a/daemon/slots.go
+++ b/daemon/slots.go
@@ -120,9 +120,12 @@
 }
 
 // endMove admits requests again; those that waited are routed by the routes that
-// have just been published.
+// have just been published. What is still owned then is granted again.
 func (i *incarnation) endMove(end control.MoveEnd) {
 	i.thaw(end.Move)
+	if i.d.fetched != nil {
+		i.unhold(end.Move.Moves, nil)
+	}
 	i.d.counters.moved.Inc(int64(len(end.Move.Moves)))
 }
 
