cli: SIGHUP is told in the log

A change of the settings file is announced by SIGHUP, which was ignored without a word; the users ask for a line at each reload.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -14,7 +14,7 @@
 
 const platformHelp = `Run the daemon beside one target on the users' platform, which writes its settings from the template that the deploy file names.
 
-SIGTERM and SIGINT make it stop: it lets callers go elsewhere, finishes what runs, and leaves its keys to its next process. SIGHUP has no effect, since the settings of a process do not change.
+SIGTERM and SIGINT make it stop: it lets callers go elsewhere, finishes what runs, and leaves its keys to its next process. SIGHUP is logged and has no other effect: settings are read at the start.
 
 Example:
 $ fulmarrun platform --settings /etc/fulmarrun/boot.yaml
@@ -32,13 +32,20 @@
 	if c.app.platform == nil {
 		return fmt.Errorf("platform: %w", ErrAbsent)
 	}
-	signal.Ignore(syscall.SIGHUP)
 	// What net/http logs by itself can hold parts of answers.
 	stdlog.SetOutput(io.Discard)
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close()
 	logger := newLogger(out)
 	logger.Info(logs.EventStart, logs.FieldPID, os.Getpid(), logs.FieldSettings, c.Settings)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			logger.Info(logs.EventReload, logs.FieldSettings, c.Settings)
+		}
+	}()
 	defer logger.Info(logs.EventEnd, logs.FieldPID, os.Getpid())
 	return untilSignal(c.ctx, func(ctx context.Context) error {
 		return c.app.platform(ctx, c.Settings, logger)
--- a/logs/events.go
+++ b/logs/events.go
@@ -9,7 +9,7 @@
 	EventLeaveLate = "leave not finished in time"
 	EventLeft      = "left"
 	EventCutOff    = "callers cut off"
-	EventSettings  = "settings read"
+	EventReload    = "settings are read at the next start"
 	EventSummary   = "summary"
 	EventLate      = "process runs late"
 
