--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -372,6 +372,7 @@
 	l.set(limit, now)
 }
 
+// set begins an epoch with a new limit, within bounds, and gives up a probe.
 func (l *Limiter) set(limit int, now time.Time) {
 	l.restore = 0
 	l.move(min(max(limit, 1), l.ceiling), now)
--- a/handover/loose.go
+++ b/handover/loose.go
@@ -16,10 +16,7 @@
 // numbers of them mean little: it moves what must go, and what a member lacks to half
 // of an even share. Relief does the rest.
 func PlanLoose(s *routes.Snapshot, service string, eligible func(*routes.Owner) bool, self wire.Generation) []Move {
-	shares := survey(s, service, eligible)
-	setLooseGoals(shares)
-	moves := slotMoves(service, shares, self)
-	return append(moves, keyMoves(service, shares, self)...)
+	return planTo(setLooseGoals, s, service, eligible, self)
 }
 
 // setLooseGoals leaves everybody who may own with what it has, and shares what
--- a/handover/plan.go
+++ b/handover/plan.go
@@ -38,6 +38,14 @@
 // eligible member owns an equal share of the service. It moves no more slots
 // than that needs, and returns the same for the same snapshot.
 func Plan(s *routes.Snapshot, service string, eligible func(*routes.Owner) bool, self wire.Generation) []Move {
+	return planTo(setGoals, s, service, eligible, self)
+}
+
+// planTo returns the moves of self by which each member comes to own as many slots as
+// its goal.
+func planTo(setGoals func([]*share), s *routes.Snapshot, service string,
+	eligible func(*routes.Owner) bool, self wire.Generation,
+) []Move {
 	shares := survey(s, service, eligible)
 	setGoals(shares)
 	moves := slotMoves(service, shares, self)
--- a/histogram/sample.go
+++ b/histogram/sample.go
@@ -24,7 +24,8 @@
 	Least = time.Nanosecond
 	// Greatest is the longest time that is told apart.
 	Greatest = time.Minute
-	// digits is the precision. Two digits take about 20 KB a histogram.
+	// digits is the precision. Two digits take 31 KB a histogram, of which a
+	// Sample has three.
 	digits = 2
 	// defaultPeriod is how long values count fully for the quantiles.
 	defaultPeriod = 30 * time.Second
