pipeline: pipelined requests are begun side by side

Ruled out: the limit of the targets and the order of their queue as the main cause, since hire-booking passes the same ones; what is left of the wait is theirs and follows.

A connection of package pipeline stands between net/http and the socket. It hands over one request at a time, reads on while that is served, and has complete safe requests begun in the order in which they came. Answers are written in that order. RFC 9112 allows it if all of them are safe, so that nothing is begun beside one that is not. An answer that would close the connection leaves it open while requests behind it have been begun; none is begun once the daemon leaves, and a stop waits for those that were.

It also mends a caller who leaves with requests unanswered: net/http stops looking at the connection as soon as a second request has arrived, and those behind went on to targets.

A panic in the handling of a request is answered with 502 and logged, also for one that was begun before its turn; net/http recovers only its own goroutines.

Tests: TestSideBySide hangs without it. TestCut and FuzzIngress compare with net/http alone for any bytes cut anywhere; TestMistakes shows that two layers keep an answer from another request, and that the oracle sees it without both.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -102,6 +102,17 @@
 	write(w, r.Method, req.ID, h.route(r.Context(), kind, req))
 }
 
+// MayBegin tells whether a request may be begun before others that came ahead of it on
+// its connection are answered.
+func (h *Handler) MayBegin(r *http.Request) bool {
+	table := h.table()
+	if table == nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		return false
+	}
+	match, ok := table.Match(r.Method, r.URL.EscapedPath())
+	return ok && match.Kind.Repeatable()
+}
+
 // read turns HTTP into a request, or returns the refusal.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (*config.Kind, *wire.Request, *wire.Response) {
 	table := h.table()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,7 +19,6 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/audit"
-	"fulmarrun/caller"
 	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/control"
@@ -29,6 +28,7 @@
 	"fulmarrun/operator"
 	"fulmarrun/owner"
 	"fulmarrun/peer"
+	"fulmarrun/pipeline"
 	"fulmarrun/storage"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
@@ -70,6 +70,7 @@
 	// fetched is nil unless the target fetches its grants.
 	fetched  *fetched
 	callers  *http.Server
+	ingress  *pipeline.Ingress
 	applier  *operator.Applier
 	configs  *configs
 	counters *counters
@@ -164,7 +165,7 @@
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.add))
 	d.configs = newConfigs(d.store, d.peers)
 	d.registerGauges()
-	d.callers = d.callerServer()
+	d.assembleCallers()
 }
 
 // add puts an entry into the audit trail, if there is one.
@@ -224,7 +225,7 @@
 func (d *Daemon) actors(ctx context.Context) *run.Group {
 	g := &run.Group{}
 	server := d.peerServer()
-	d.addServer(g, d.callers, d.listeners.caller)
+	d.addServer(g, d.callers, d.ingress.Listen(d.listeners.caller))
 	d.addServer(g, d.targetServer(), d.listeners.target)
 	d.addServer(g, d.operatorServer(), d.listeners.operator)
 	if d.listeners.metrics != nil {
@@ -322,7 +323,7 @@
 func (d *Daemon) shutDown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain)
 	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
+	if err := d.endCallers(ctx); err != nil {
 		return fmt.Errorf("finish callers' requests: %w", err)
 	}
 	for d.server.Running() > 0 && ctx.Err() == nil {
@@ -336,26 +337,3 @@
 		i.offer(control.Heartbeat{Heartbeat: hb})
 	}
 }
-
-func (d *Daemon) callerServer() *http.Server {
-	server := &http.Server{MaxHeaderBytes: d.settings.Header, ReadHeaderTimeout: headerTimeout}
-	if d.outside.Callers != nil {
-		server.Handler = d.parting(d.outside.Callers(d))
-		server.ConnContext = d.outside.ConnContext
-		return server
-	}
-	server.Handler = d.parting(caller.NewHandler(d.table.Load, d.Route,
-		caller.WithMaxBody(d.settings.Body), caller.WithRefused(d.TurnedAway)))
-	return server
-}
-
-// parting has each connection closed after its next answer once the daemon leaves.
-// One that is kept might be closed just as its caller sends the next request.
-func (d *Daemon) parting(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/daemon/outside.go
+++ b/daemon/outside.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"fulmarrun/config"
@@ -12,10 +11,10 @@
 // Outside is what the daemon speaks to callers, to its target and to operators, in
 // place of this project's own protocols. A nil field leaves one as it is.
 type Outside struct {
-	// Callers returns the handler of callers' requests.
-	Callers func(*Daemon) http.Handler
-	// ConnContext adds to the context of each connection of callers; nil adds nothing.
-	ConnContext func(ctx context.Context, conn net.Conn) context.Context
+	// Callers returns the handler of callers' requests, and what tells of a request
+	// whether it may be begun before others that came ahead of it on its connection are
+	// answered.
+	Callers func(*Daemon) (handler http.Handler, mayBegin func(*http.Request) bool)
 	// Target returns the handler of what the target beside the daemon sends.
 	Target func(*Daemon) http.Handler
 	// Operators returns the handler of operators and supervisors.
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -27,7 +27,7 @@
 	d.server.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(end))
 	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
+	if err := d.endCallers(ctx); err != nil {
 		d.log.Warn(logs.EventCutOff, logs.FieldErr, err)
 	}
 	for d.server.Running() > 0 && storage.Sleep(ctx, drainPoll) == nil {
--- a/logs/events.go
+++ b/logs/events.go
@@ -12,6 +12,7 @@
 	EventReload    = "settings are read at the next start"
 	EventSummary   = "summary"
 	EventLate      = "process runs late"
+	EventPanic     = "handling panicked"
 
 	EventTurnedAway = "request turned away"
 	EventUnanswered = "request without an answer"
@@ -116,6 +117,7 @@
 	FieldSettings    = "settings"    // file of the settings
 	FieldSlot        = "slot"        // slot
 	FieldSlots       = "slots"       // requests that the target says it bears at once, or slots concerned
+	FieldStack       = "stack"       // goroutine's stack at a panic
 	FieldStatus      = "status"      // status of the target's answer, or of the refusal; 0 if by outcome
 	FieldStoreAge    = "storeage"    // how long ago the store last answered
 	FieldSubject     = "subject"     // instance that a change is about
