A panic ends one message, not the process

Cause: net/http recovers the goroutines of its own requests alone. A panic in the reading or handling of a peer's call, in a try of an unkeyed request, in an effect or a message of the control state, or in what follows the configuration ended the daemon, and all requests with it.

Package guard turns a panic into an error. A caller's request is answered 502, a peer's call is told to have failed, an actor starts again after a second. Where a panic may have left the control state halfway its generation ends, as if it had been closed, and the next one reads the rows anew: what it inherited stays withheld until it has run out. The permit of a request that panics goes back to admission. One line is logged for each, bounded like other lines about requests. Handlers of targets, operators and supervisors have a bound on the size of a head and on the time in which a request has to come.

Tests: daemon TestCallerPanics, TestActorPanics, TestEffectPanics; peer TestPanic; pipeline TestPanic. Without the guards each ends the test's process.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -4,12 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 
 	"github.com/pkg/errors"
 
 	"fulmarrun/caller"
-	"fulmarrun/logs"
+	"fulmarrun/guard"
 	"fulmarrun/pipeline"
 	"fulmarrun/storage"
 )
@@ -51,23 +50,16 @@
 // has become of the request is not known.
 func (d *Daemon) guarded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			p := recover()
-			if p == nil {
-				return
-			}
-			if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-				panic(p)
-			}
-			if hidden, ok := d.mayLog(logs.EventPanic, ""); ok {
-				d.log.Error(logs.EventPanic, logs.FieldPath, cut(r.URL.Path), logs.FieldErr, fmt.Sprint(p),
-					logs.FieldStack, string(debug.Stack()), logs.FieldHidden, hidden)
-			}
+		err := guard.Run(func() { next.ServeHTTP(w, r) })
+		if errors.Is(err, http.ErrAbortHandler) {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			d.notePanic("request of a caller", err)
 			// Of an answer that has begun the head is out, and the caller sees its end
 			// missing.
 			w.WriteHeader(http.StatusBadGateway)
-		}()
-		next.ServeHTTP(w, r)
+		}
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -225,6 +225,8 @@
 func (d *Daemon) actors(ctx context.Context) *run.Group {
 	g := &run.Group{}
 	server := d.peerServer()
+	d.peers.OnPanic(func(err error) { d.notePanic("reply of a peer", err) })
+	server.OnPanic(func(err error) { d.notePanic("call of a peer", err) })
 	d.addServer(g, d.callers, d.ingress.Listen(d.listeners.caller))
 	d.addServer(g, d.targetServer(), d.listeners.target)
 	d.addServer(g, d.operatorServer(), d.listeners.operator)
@@ -258,7 +260,7 @@
 
 func (d *Daemon) addActor(ctx context.Context, g *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return d.persist(ctx, "actor", f) }, func(error) { cancel() })
 }
 
 func (d *Daemon) addServer(g *run.Group, s *http.Server, l net.Listener) {
--- /dev/null
+++ b/daemon/export_test.go
@@ -0,0 +1,14 @@
+package daemon
+
+import "context"
+
+// Break has an effect of the present generation panic. It reports false if there is no
+// generation yet.
+func (d *Daemon) Break() bool {
+	i := d.current.Load()
+	if i == nil {
+		return false
+	}
+	i.spawn(func(context.Context) { panic("broken") })
+	return true
+}
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -14,6 +14,7 @@
 
 	"fulmarrun/clock"
 	"fulmarrun/control"
+	"fulmarrun/guard"
 	"fulmarrun/handover"
 	"fulmarrun/logs"
 	"fulmarrun/outcome"
@@ -25,9 +26,8 @@
 
 const (
 	// inboxSize bounds the messages that wait for the control goroutine.
-	inboxSize     = 8192
-	drainPoll     = 5 * time.Millisecond
-	headerTimeout = 10 * time.Second
+	inboxSize = 8192
+	drainPoll = 5 * time.Millisecond
 	// listPage is how many rows are read from the platform at once.
 	listPage = 500
 )
@@ -160,7 +160,11 @@
 	i.wg.Add(1)
 	go func() {
 		defer i.wg.Done()
-		f(i.ctx)
+		if err := guard.Run(func() { f(i.ctx) }); err != nil {
+			// What the core waits for may never come.
+			i.d.notePanic("effect", err)
+			i.post(i.ctx, brokenMessage{})
+		}
 	}()
 }
 
@@ -182,9 +186,21 @@
 	}
 }
 
-// step feeds one message to the core and carries out what it asks for.
+// step takes one message. If that panics, the generation ends.
 func (i *incarnation) step(m control.Message) {
+	if err := guard.Run(func() { i.take(m) }); err != nil {
+		i.d.notePanic("control", err)
+		i.closed = true
+	}
+}
+
+// take feeds one message to the core and carries out what it asks for.
+func (i *incarnation) take(m control.Message) {
 	now := clock.Now()
+	if _, broken := m.(brokenMessage); broken {
+		i.closed = true
+		return
+	}
 	if m, renews := m.(renewMessage); renews {
 		i.renewed = true
 		i.d.log.Info(logs.EventRenewed, logs.FieldGeneration, i.self.Generation, logs.FieldReason, m.reason)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,6 +13,7 @@
 	"fulmarrun/audit"
 	"fulmarrun/config"
 	"fulmarrun/control"
+	"fulmarrun/guard"
 	"fulmarrun/operator"
 	"fulmarrun/peer"
 	"fulmarrun/routes"
@@ -30,7 +31,7 @@
 // operatorServer answers the operators' command line and the supervisor.
 func (d *Daemon) operatorServer() *http.Server {
 	if d.outside.Operators != nil {
-		return &http.Server{Handler: d.outside.Operators(d), ReadHeaderTimeout: headerTimeout}
+		return newServer(d.outside.Operators(d))
 	}
 	s := operator.NewServer(operator.WithRegistry(d.registry))
 	s.Apply = d.apply
@@ -43,14 +44,14 @@
 		return nil
 	}
 	s.Ready = d.ready
-	return &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	return newServer(s)
 }
 
 // metricsServer answers with the metrics alone.
 func (d *Daemon) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+operator.PathMetrics, operator.Metrics(d.registry))
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return newServer(mux)
 }
 
 // ready tells whether the daemon should be sent callers.
@@ -157,7 +158,12 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			status, err := d.statusOf(ctx, o)
+			var status *wire.Status
+			var err error
+			if panicked := guard.Run(func() { status, err = d.statusOf(ctx, o) }); panicked != nil {
+				d.notePanic("question to a peer", panicked)
+				err = panicked
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || status.Generation != o.Generation {
--- a/daemon/relief.go
+++ b/daemon/relief.go
@@ -104,10 +104,10 @@
 	for _, m := range others {
 		i.spawn(func(context.Context) {
 			var load handover.Load
+			defer func() { answers <- load }()
 			if status, ok := i.askLoad(ctx, m); ok {
 				load = handover.Load{Generation: m.Generation, Utilization: status.Utilization}
 			}
-			answers <- load
 		})
 	}
 	var out []handover.Load
--- a/daemon/targets.go
+++ b/daemon/targets.go
@@ -26,13 +26,13 @@
 // targetServer takes the announcements of the target.
 func (d *Daemon) targetServer() *http.Server {
 	if d.outside.Target != nil {
-		return &http.Server{Handler: d.outside.Target(d), ReadHeaderTimeout: headerTimeout}
+		return newServer(d.outside.Target(d))
 	}
 	server := targethttp.NewServer()
 	server.OnAnnounce = d.announce
 	mux := http.NewServeMux()
 	mux.Handle(targethttp.AnnouncePath, server)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return newServer(mux)
 }
 
 func (d *Daemon) announce(a targethttp.Announcement) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/config"
+	"fulmarrun/guard"
 	"fulmarrun/owner"
 	"fulmarrun/routes"
 	"fulmarrun/targethttp"
@@ -186,7 +188,11 @@
 	u.pool.start(to.Generation)
 	go func() {
 		began := time.Now()
-		response, err := u.f.send(ctx, to, 0, u.req)
+		var response *wire.Response
+		var err error
+		if panicked := guard.Run(func() { response, err = u.f.send(ctx, to, 0, u.req) }); panicked != nil {
+			response, err = nil, fmt.Errorf("try at %s: %w", to.Instance, panicked)
+		}
 		u.pool.done(to.Generation, time.Since(began), response, err)
 		u.ends <- attempt{response: response, err: err}
 	}()
--- a/owner/server.go
+++ b/owner/server.go
@@ -389,9 +389,12 @@
 	run, cancel := runContext(ctx, j.kind, deadline)
 	defer cancel()
 	defer context.AfterFunc(j.lease, cancel)()
+	done := admission.Completion{Result: admission.Failed}
+	// A panic must not keep the permit.
+	defer func() { permit.Done(done) }()
 	start := time.Now()
 	response, err := s.dispatch(run, j)
-	permit.Done(admission.Completion{Latency: time.Since(start), Result: result(response, err)})
+	done = admission.Completion{Latency: time.Since(start), Result: result(response, err)}
 	return response
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -37,6 +37,8 @@
 	late atomic.Uint64
 	next atomic.Uint64
 
+	panicked func(error)
+
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
 	closed bool
@@ -44,9 +46,13 @@
 
 // NewClient returns a client without connections.
 func NewClient(opts ...Option) *Client {
-	return &Client{opts: newOptions(opts), links: make(map[netip.AddrPort]*link)}
+	return &Client{opts: newOptions(opts), links: make(map[netip.AddrPort]*link), panicked: func(error) {}}
 }
 
+// OnPanic names what is told of each reply whose reading has panicked; it must be called
+// before the first Call. The connection that it came by is closed.
+func (c *Client) OnPanic(f func(error)) { c.panicked = f }
+
 // Call sends q to the daemon at addr and waits for its reply. If ctx ends first,
 // the peer is told to cancel.
 func Call[R any, PR interface {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/guard"
 	"fulmarrun/wire"
 )
 
@@ -116,7 +117,15 @@
 		}
 		switch frame.Kind {
 		case w.kind | replyBit:
-			w.reply <- wire.Decode(frame.Body, w.message)
+			var err error
+			panicked := guard.Run(func() { err = wire.Decode(frame.Body, w.message) })
+			if panicked != nil {
+				c.client.panicked(panicked)
+				w.reply <- fmt.Errorf("%w: %w", ErrBroken, panicked)
+				c.fail(errBadFrame)
+				return
+			}
+			w.reply <- err
 		case kindFailed | replyBit:
 			w.reply <- failure(frame.Body)
 		default:
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 
+	"fulmarrun/guard"
 	"fulmarrun/tcp"
 	"fulmarrun/wire"
 )
@@ -71,6 +72,7 @@
 	opts      options
 	handlers  [256]handler
 	malformed atomic.Uint64
+	panicked  func(error)
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -80,9 +82,13 @@
 
 // NewServer returns a server without handlers.
 func NewServer(opts ...Option) *Server {
-	return &Server{opts: newOptions(opts), conns: make(map[net.Conn]struct{})}
+	return &Server{opts: newOptions(opts), conns: make(map[net.Conn]struct{}), panicked: func(error) {}}
 }
 
+// OnPanic names what is told of each call whose handling has panicked; it must be called
+// before Serve. The peer is told that the call failed.
+func (s *Server) OnPanic(f func(error)) { s.panicked = f }
+
 // Handle registers fn for frames of the given kind. It must not be called after
 // Serve. The message is fn's to keep.
 func Handle[Q, R any, PQ interface {
@@ -260,7 +266,12 @@
 	if h == nil {
 		return nil, fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
 	}
-	run, err := h(ctx, frame.Body)
+	var run func(context.Context) (msgp.Marshaler, error)
+	var err error
+	if panicked := guard.Run(func() { run, err = h(ctx, frame.Body) }); panicked != nil {
+		c.server.panicked(panicked)
+		err = panicked
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errBadFrame, err)
 	}
@@ -311,7 +322,12 @@
 }
 
 func (c *serverConn) run(w *call) {
-	reply, err := w.run(w.ctx)
+	var reply msgp.Marshaler
+	var err error
+	if panicked := guard.Run(func() { reply, err = w.run(w.ctx) }); panicked != nil {
+		c.server.panicked(panicked)
+		err = panicked
+	}
 	w.cancel()
 	c.mu.Lock()
 	delete(c.running, w.id)
--- a/pipeline/call.go
+++ b/pipeline/call.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net/http"
+
+	"fulmarrun/guard"
 )
 
 // call is a request that was begun before its turn.
@@ -11,15 +13,14 @@
 	// done is closed once the answer is complete.
 	done   chan struct{}
 	answer answer
-	// panicked is what the handler has panicked with, if it did.
-	panicked any
+	// err is a *guard.PanicError if the handler has panicked.
+	err error
 }
 
 // run has the handler answer the request.
 func (c *call) run(next http.Handler) {
 	defer close(c.done)
-	defer func() { c.panicked = recover() }()
-	next.ServeHTTP(&c.answer, c.request)
+	c.err = guard.Run(func() { next.ServeHTTP(&c.answer, c.request) })
 }
 
 // answer is an http.ResponseWriter that keeps what is written.
--- a/pipeline/ingress.go
+++ b/pipeline/ingress.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
+
 	"fulmarrun/tcp"
 )
 
@@ -122,13 +124,22 @@
 	}
 	defer i.begun.Add(-1)
 	<-begun.done
-	if begun.panicked != nil {
-		// net/http logs it and ends the connection, as for any other request.
-		panic(begun.panicked)
+	if begun.err != nil {
+		// net/http ends the connection, as for any other request.
+		panic(panicOf(begun.err))
 	}
 	begun.answer.writeTo(out)
 }
 
+// panicOf returns what net/http is to be panicked with: it compares with ErrAbortHandler
+// itself.
+func panicOf(err error) any {
+	if errors.Is(err, http.ErrAbortHandler) {
+		return http.ErrAbortHandler
+	}
+	return err
+}
+
 // writer is the way of an answer to the connection.
 type writer struct {
 	http.ResponseWriter
