Bounds on what is read of answers, bodies and the store at once

Cause: the head of an answer could have 10 MB, each of up to 1,200 connections could hold a body of 8 MB, and bodies of callers went up to what the configuration allows (64 MB), of which a daemon can bring no more than 16 MB to another. With 8 callers of endless answers a daemon grew from 19 MB to 195 MB; it may have 184. Interim answers without end kept their callers waiting until the deadline.

Ruled out: chunk extensions, lengths and trailers without end, which net/http bounds.

Heads end at 64 KiB, interim answers included. Package buffer reads messages whole: up to 128 KiB for everybody, and beyond that only if there is room for all that the message may become, in a pool of 8 MB. A message asks for room once, so that two can't wait for each other, and pieces of messages that were given up are used again. Bodies over 8 MB are refused with 413; a caller that stops in the middle of a body is told 408 when its time is over, and no longer keeps a goroutine for good.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
+	"fulmarrun/buffer"
 	"fulmarrun/config"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
@@ -44,14 +41,12 @@
 	reasonDepth    = "depth"
 	reasonDeadline = "deadline"
 	reasonBody     = "body"
+	reasonRoom     = "room"
 	reasonPath     = "path"
 	reasonStatus   = "status"
 
 	// ownPrefix starts the names of this system's own headers.
-	ownPrefix = "Fulmar-"
-	// minBodyWait is the shortest time that a caller has for sending its body.
-	minBodyWait = time.Second
-
+	ownPrefix   = "Fulmar-"
 	configRetry = time.Second
 )
 
@@ -75,6 +70,7 @@
 	table   func() *config.Table
 	route   func(context.Context, *config.Kind, *wire.Request) *wire.Response
 	maxBody int64
+	pool    *buffer.Pool
 	refused func(*http.Request, string, *wire.Response)
 }
 
@@ -83,7 +79,10 @@
 func NewHandler(table func() *config.Table,
 	route func(context.Context, *config.Kind, *wire.Request) *wire.Response, opts ...Option,
 ) *Handler {
-	h := &Handler{table: table, route: route, maxBody: DefaultMaxBody, refused: func(*http.Request, string, *wire.Response) {}}
+	h := &Handler{
+		table: table, route: route, maxBody: DefaultMaxBody, pool: buffer.NewPool(buffer.DefaultSize),
+		refused: func(*http.Request, string, *wire.Response) {},
+	}
 	for _, opt := range opts {
 		opt(h)
 	}
@@ -139,33 +138,15 @@
 	if refused := identify(r, &match, req); refused != nil {
 		return nil, nil, refused
 	}
-	body, err := h.body(w, r, req.Wait)
+	body, err := ReadBody(w, r, h.pool, h.maxBody, req.Wait)
 	if err != nil {
-		return nil, nil, badBody(err)
+		return nil, nil, RefuseBody(err)
 	}
 	req.Body = body
 	req.Headers = headers(r.Header)
 	return match.Kind, req, nil
 }
 
-// body reads the whole body. A caller that stops in the middle is cut off after
-// wait.
-func (h *Handler) body(w http.ResponseWriter, r *http.Request, wait time.Duration) ([]byte, error) {
-	if r.ContentLength == 0 || r.Body == nil {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	// Where the connection has no deadline, in tests, there is none to set.
-	_ = control.SetReadDeadline(time.Now().Add(max(wait, minBodyWait)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.maxBody))
-	if err != nil {
-		// The deadline stays, so that the server does not wait for the rest either.
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // unready answers while no configuration is in force. An ID of the caller's own
 // may have run before, and whether it may be repeated is not known here.
 func unready(h http.Header) *wire.Response {
@@ -199,17 +180,6 @@
 	return bad(http.StatusNotFound, reason.String())
 }
 
-func badBody(err error) *wire.Response {
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return bad(http.StatusRequestEntityTooLarge, reasonBody)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return bad(http.StatusRequestTimeout, reasonBody)
-	}
-	return bad(http.StatusBadRequest, reasonBody)
-}
-
 // nesting takes over the depth and the deadline of the call that this one is
 // nested in.
 func nesting(h http.Header, req *wire.Request) *wire.Response {
--- a/storage/exchange.go
+++ b/storage/exchange.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"fulmarrun/buffer"
 	"fulmarrun/tcp"
 )
 
@@ -20,23 +22,27 @@
 	idleTime = time.Minute
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
+	// headBytes is the greatest size of an answer's head.
+	headBytes = 64 << 10
 )
 
 // Exchange makes single HTTP exchanges with the platform.
 type Exchange struct {
 	base netip.AddrPort
+	pool *buffer.Pool
 	http *http.Client
 }
 
 // NewExchange returns an Exchange with the platform at base.
 func NewExchange(base netip.AddrPort) *Exchange {
-	return &Exchange{base: base, http: &http.Client{
+	return &Exchange{base: base, pool: buffer.NewPool(buffer.DefaultSize), http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         tcp.NewDialer(dialTimeout).DialContext,
-			MaxConnsPerHost:     maxConnections,
-			MaxIdleConnsPerHost: maxConnections,
-			IdleConnTimeout:     idleTime,
-			DisableCompression:  true,
+			DialContext:            tcp.NewDialer(dialTimeout).DialContext,
+			MaxConnsPerHost:        maxConnections,
+			MaxIdleConnsPerHost:    maxConnections,
+			IdleConnTimeout:        idleTime,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: headBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -58,12 +64,12 @@
 		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err = io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
-	if err != nil {
-		return 0, nil, fmt.Errorf("%w: read answer: %w", ErrUnavailable, err)
-	}
-	if len(data) > MaxBody {
-		return 0, nil, fmt.Errorf("%w: answer exceeds %d bytes", ErrRejected, MaxBody)
+	data, err = e.pool.ReadAll(ctx, resp.Body, resp.ContentLength, MaxBody)
+	switch {
+	case errors.Is(err, buffer.ErrSize):
+		return 0, nil, fmt.Errorf("%w: answer exceeds %d bytes: %w", ErrRejected, MaxBody, err)
+	case err != nil:
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return resp.StatusCode, data, nil
 }
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/buffer"
 	"fulmarrun/tcp"
 	"fulmarrun/wire"
 )
@@ -22,6 +23,9 @@
 const (
 	// defaultLimit is the greatest size of an answer's body in bytes.
 	defaultLimit = 8 << 20
+	// headBytes is the greatest size of an answer's head, interim answers included; HTTP
+	// servers take as much of a request.
+	headBytes = 64 << 10
 	// defaultConnections is the greatest number of connections to the target.
 	defaultConnections = 100
 	// defaultIdle is how long an unused connection is kept; it is shorter than
@@ -40,7 +44,6 @@
 	errCut      = errors.New("answer was cut short")
 	errUnframed = errors.New("answer declares no length")
 	errCrossed  = errors.New("answer belongs to another request")
-	errSize     = errors.New("answer is over the limit")
 )
 
 // Destination is where the target serves, and who it is.
@@ -58,6 +61,7 @@
 	transport   *http.Transport
 	dialer      *net.Dialer
 	limit       int64
+	pool        *buffer.Pool
 	connections int
 	idle        time.Duration
 	retry       time.Duration
@@ -66,7 +70,7 @@
 	destination atomic.Pointer[Destination]
 
 	// The seams are replaced by tests alone.
-	read   func(resp *http.Response, method string, limit int64, unframed bool) ([]byte, error)
+	read   func(ctx context.Context, resp *http.Response, method string, limit int64) ([]byte, error)
 	sealed func(*attempt) bool
 	admit  func(a *attempt, c *conn, reused bool) bool
 }
@@ -77,6 +81,10 @@
 // WithLimit is a functional option that bounds the body of an answer, in bytes.
 func WithLimit(size int64) Option { return func(c *Client) { c.limit = size } }
 
+// WithPool is a functional option that sets the room for long answers that are being
+// read.
+func WithPool(p *buffer.Pool) Option { return func(c *Client) { c.pool = p } }
+
 // WithConnections is a functional option that bounds the connections to the
 // target.
 func WithConnections(n int) Option { return func(c *Client) { c.connections = n } }
@@ -103,24 +111,26 @@
 	c := &Client{
 		dialer:      tcp.NewDialer(defaultDial),
 		limit:       defaultLimit,
+		pool:        buffer.NewPool(buffer.DefaultSize),
 		connections: defaultConnections,
 		idle:        defaultIdle,
 		retry:       defaultRetry,
 		dialect:     NewDialect(),
-		read:        readWhole,
 		sealed:      (*attempt).seal,
 		admit:       (*attempt).use,
 	}
+	c.read = c.readWhole
 	for _, opt := range opts {
 		opt(c)
 	}
 	c.transport = &http.Transport{
-		DialContext:         c.dial,
-		DisableCompression:  true,
-		MaxIdleConns:        c.connections,
-		MaxIdleConnsPerHost: c.connections,
-		MaxConnsPerHost:     c.connections,
-		IdleConnTimeout:     c.idle,
+		DialContext:            c.dial,
+		DisableCompression:     true,
+		MaxIdleConns:           c.connections,
+		MaxIdleConnsPerHost:    c.connections,
+		MaxConnsPerHost:        c.connections,
+		IdleConnTimeout:        c.idle,
+		MaxResponseHeaderBytes: headBytes,
 	}
 	return c
 }
@@ -269,7 +279,7 @@
 
 // receive reads the answer whole, or says why there is none.
 func (c *Client) receive(ctx context.Context, r *wire.Request, d *Destination, resp *http.Response, a *attempt) (*wire.Response, error) {
-	data, err := c.read(resp, r.Method, c.limit, c.dialect.Unframed)
+	data, err := c.read(ctx, resp, r.Method, c.limit)
 	closeErr := resp.Body.Close()
 	reading := c.dialect.Read(resp, *d)
 	if a.isCrossed() || reading.ID != r.ID && (reading.ID != "" || reading.NamesID) {
@@ -281,7 +291,7 @@
 	}
 	if err != nil {
 		reason := ReasonCut
-		if errors.Is(err, errSize) {
+		if errors.Is(err, buffer.ErrSize) {
 			reason = ReasonSize
 		}
 		return c.unknown(ctx, reason, err)
@@ -306,30 +316,21 @@
 
 // readWhole reads a body up to the end that its framing declares, or up to the
 // orderly end of the connection if a body without framing is allowed.
-func readWhole(resp *http.Response, method string, limit int64, unframed bool) ([]byte, error) {
+func (c *Client) readWhole(ctx context.Context, resp *http.Response, method string, limit int64) ([]byte, error) {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errUnframed
 	}
 	if method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		return nil, nil
 	}
-	if resp.ContentLength > limit {
-		return nil, errSize
-	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !unframed {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !c.dialect.Unframed {
 		return nil, errUnframed
 	}
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1)); err != nil {
+	data, err := c.pool.ReadAll(ctx, resp.Body, resp.ContentLength, limit)
+	if err != nil {
 		return nil, fmt.Errorf("read answer: %w: %w", errCut, err)
 	}
-	if int64(buf.Len()) > limit {
-		return nil, errSize
-	}
-	return buf.Bytes(), nil
+	return data, nil
 }
 
 func (c *Client) notRun(reason string, err error) (*wire.Response, error) {
--- a/targethttp/export_test.go
+++ b/targethttp/export_test.go
@@ -1,6 +1,7 @@
 package targethttp
 
 import (
+	"context"
 	"io"
 	"net/http"
 )
@@ -8,7 +9,7 @@
 // WithoutWhole is a functional option that passes on whatever came of an answer.
 func WithoutWhole() Option {
 	return func(c *Client) {
-		c.read = func(resp *http.Response, _ string, limit int64, _ bool) ([]byte, error) {
+		c.read = func(_ context.Context, resp *http.Response, _ string, limit int64) ([]byte, error) {
 			data, _ := io.ReadAll(io.LimitReader(resp.Body, limit))
 			return data, nil
 		}
--- a/targethttp/grant.go
+++ b/targethttp/grant.go
@@ -181,12 +181,12 @@
 		return GrantReply{}, fmt.Errorf("push grant: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readReply(resp)
+	return c.readReply(ctx, resp)
 }
 
-func readReply(resp *http.Response) (GrantReply, error) {
+func (c *Client) readReply(ctx context.Context, resp *http.Response) (GrantReply, error) {
 	var reply GrantReply
-	data, err := readWhole(resp, http.MethodPost, replyLimit, false)
+	data, err := c.readWhole(ctx, resp, http.MethodPost, replyLimit)
 	if err != nil {
 		return reply, fmt.Errorf("read reply to grant: %w", err)
 	}
--- a/targethttp/health.go
+++ b/targethttp/health.go
@@ -62,7 +62,7 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err = readWhole(resp, http.MethodGet, replyLimit, false)
+	body, err = c.readWhole(ctx, resp, http.MethodGet, replyLimit)
 	if err != nil {
 		return 0, nil, err
 	}
