--- a/wire/codec.go
+++ b/wire/codec.go
@@ -11,8 +11,9 @@
 const (
 	// maxElements is the greatest number of elements of one array or map.
 	maxElements = 1 << 17
-	// maxDepth is how deep arrays and maps may be nested.
-	maxDepth = 8
+	// maxDepth is how deep arrays and maps may be nested: our own messages need 8, and
+	// fields that are not known here may be deeper.
+	maxDepth = 32
 )
 
 var (
