A target that has left stays so when its daemon starts again

Cause: that a target leaves for good was known to its daemon's process alone.

The member's row says which life has left, and the next process learns it as it joins, before others send it anything. Another life of the target, under the same name too, is not meant. One write for each target that leaves without having drained before.

--- a/control/message.go
+++ b/control/message.go
@@ -103,7 +103,9 @@
 
 // TargetChanged says whether the target beside the daemon takes work.
 type TargetChanged struct {
-	Idle   bool
+	Idle bool
+	// Left names the life of the target that has left for good; empty if none has.
+	Left   string
 	Reason string
 }
 
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,8 +14,10 @@
 	"fulmarrun/control"
 	"fulmarrun/holds"
 	"fulmarrun/logs"
+	"fulmarrun/routes"
 	"fulmarrun/storage"
 	"fulmarrun/targethttp"
+	"fulmarrun/wire"
 )
 
 const (
@@ -70,8 +73,38 @@
 	if f.beat.Name != name {
 		return
 	}
-	f.gone = true
+	f.gone, f.left = true, f.beat.Life.String()
 	d.drain("the target leaves", f.drainLimit-drainMargin)
+	d.tellTarget("the target leaves")
+}
+
+// learnLeft notes what earlier processes of this instance have written of lives that left.
+func (d *Daemon) learnLeft(rows []wire.Row) {
+	if d.fetched == nil {
+		return
+	}
+	f := d.fetched
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left != "" {
+		return
+	}
+	var latest time.Time
+	for _, r := range rows {
+		var m wire.Member
+		if r.Deleted || !strings.HasPrefix(r.Key, routes.MemberPrefix) || wire.Decode(r.Value, &m) != nil {
+			// What can't be read is logged where rows are taken in.
+			continue
+		}
+		if m.Instance == d.settings.Instance && m.Left != "" && !m.Joined.Before(latest) {
+			f.left, latest = m.Left, m.Joined
+		}
+	}
+	if !f.heard.IsZero() && f.beat.Life.String() == f.left && !f.gone {
+		f.gone = true
+		d.drain("the target had left", 0)
+		d.tellTarget("the target had left")
+	}
 }
 
 // meet notes who the target is; the lock is held.
@@ -79,7 +112,7 @@
 	f := d.fetched
 	before := f.beat
 	if before.Life != beat.Life {
-		f.gone = false
+		f.gone = beat.Life.String() == f.left
 		d.log.Info(logs.EventTargetMet, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
 	}
@@ -90,7 +123,7 @@
 	d.chillLocked()
 	d.client.Use(targethttp.Destination{Address: beat.Address, Name: beat.Name})
 	switch {
-	case beat.Draining && before.Life != beat.Life:
+	case (beat.Draining || f.gone) && before.Life != beat.Life:
 		// An earlier process may have been told of it long ago.
 		d.drain("the target drains", 0)
 	case beat.Draining:
@@ -141,8 +174,13 @@
 	d.fetched.idle = idle
 	d.log.Info(logs.EventTargetChanged, logs.FieldIdle, idle, logs.FieldReason, reason)
 	d.server.RefuseUnkeyed(idle || d.leaving.Load())
+	d.tellTarget(reason)
+}
+
+// tellTarget has the own row say what the target does; the lock is held.
+func (d *Daemon) tellTarget(reason string) {
 	if i := d.current.Load(); i != nil {
-		i.offer(control.TargetChanged{Idle: idle, Reason: reason})
+		i.offer(control.TargetChanged{Idle: d.fetched.idle, Left: d.fetched.left, Reason: reason})
 	}
 }
 
@@ -155,7 +193,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i.offer(control.TargetChanged{Idle: f.idle, Reason: "as it is at the start"})
+	i.offer(control.TargetChanged{Idle: f.idle, Left: f.left, Reason: "as it is at the start"})
 }
 
 // watchBeats takes a target to be away that has not been heard of.
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -33,8 +33,10 @@
 	// beat is the last that was current, and heard is when it was received.
 	beat  holds.Beat
 	heard time.Time
-	// gone is true once the target has said that it leaves for good.
+	// gone is true once the target has said that it leaves for good, and left names the
+	// last life that has, which an earlier process may have been told.
 	gone bool
+	left string
 	// draining is true from the moment that the target said that it drains or
 	// leaves, until it or another life takes work.
 	draining   bool
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -114,7 +114,10 @@
 	i.noteTarget()
 	i.publish()
 	i.spawn(func(ctx context.Context) {
-		i.load(ctx, func(rows []wire.Row) control.Message { return control.Loaded{Rows: rows, Wall: time.Now()} })
+		i.load(ctx, func(rows []wire.Row) control.Message {
+			i.d.learnLeft(rows)
+			return control.Loaded{Rows: rows, Wall: time.Now()}
+		})
 	})
 	if i.d.fetched == nil {
 		i.spawn(i.watchHot)
--- a/holds/beat.go
+++ b/holds/beat.go
@@ -1,6 +1,7 @@
 package holds
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -12,6 +13,9 @@
 	Born time.Time
 }
 
+// String returns the name by which a row tells of this life.
+func (l Life) String() string { return fmt.Sprintf("%s/%d", l.Name, l.Born.UnixMilli()) }
+
 // Range is an interval of keys, both ends included.
 type Range struct {
 	First uint32
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -155,6 +155,8 @@
 	Heirs []Generation `msg:"h"`
 	// Idle is true while the target beside the daemon takes no work.
 	Idle bool `msg:"a"`
+	// Left names the life of the target that has left for good; empty if none has.
+	Left string `msg:"l"`
 	// Given lists the rows of slots that this generation has given slots of. Who
 	// inherits from it must know those rows at least at these numbers.
 	Given []Given `msg:"v"`
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -876,9 +876,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "i"
-	o = append(o, 0x8f, 0xa1, 0x69)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Instance)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
@@ -928,6 +928,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Idle)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.Left)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Given)))
@@ -1093,6 +1096,12 @@
 				err = msgp.WrapError(err, "Idle")
 				return
 			}
+		case "l":
+			z.Left, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Left")
+				return
+			}
 		case "v":
 			var zb0010 uint32
 			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1159,13 +1168,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Region) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Region) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2
 	var zb0001 string
 	_ = z.Peer
 	s += msgp.StringPrefixSize + len(zb0001) + 2
 	var zb0002 string
 	_ = z.Caller
-	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Given) * (14 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Left) + 2 + msgp.ArrayHeaderSize + (len(z.Given) * (14 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
