--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -73,7 +73,7 @@
 	if f.beat.Name != name {
 		return
 	}
-	f.gone, f.left = true, f.beat.Life.String()
+	f.gone, f.left = true, f.beat.String()
 	d.drain("the target leaves", f.drainLimit-drainMargin)
 	d.tellTarget("the target leaves")
 }
@@ -100,7 +100,7 @@
 			f.left, latest = m.Left, m.Joined
 		}
 	}
-	if !f.heard.IsZero() && f.beat.Life.String() == f.left && !f.gone {
+	if !f.heard.IsZero() && f.beat.String() == f.left && !f.gone {
 		f.gone = true
 		d.drain("the target had left", 0)
 		d.tellTarget("the target had left")
@@ -112,7 +112,7 @@
 	f := d.fetched
 	before := f.beat
 	if before.Life != beat.Life {
-		f.gone = beat.Life.String() == f.left
+		f.gone = beat.String() == f.left
 		d.log.Info(logs.EventTargetMet, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
 	}
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -17,6 +17,7 @@
 const (
 	metricRequests  = "requests"
 	metricLatency   = "requests.latency"
+	metricAdmission = "target.wait"
 	metricDropped   = "control.dropped"
 	metricMoved     = "slots.given"
 	metricHidden    = "log.hidden"
@@ -58,6 +59,8 @@
 	kinds    map[[2]string]bool
 	requests map[series]metrics.Counter
 	latency  map[series]metrics.Timer
+	// waits are the times before the target of this daemon, by service and kind.
+	waits map[series]metrics.Timer
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -69,6 +72,7 @@
 		kinds:    make(map[[2]string]bool),
 		requests: make(map[series]metrics.Counter),
 		latency:  make(map[series]metrics.Timer),
+		waits:    make(map[series]metrics.Timer),
 	}
 }
 
@@ -83,6 +87,47 @@
 	latency.Update(took)
 }
 
+// wait notes how long a request waited for admission to the target beside this daemon.
+func (c *counters) wait(service, kind string, queued time.Duration) {
+	s := series{service: service, kind: kind}
+	c.mu.RLock()
+	waits := c.waits[s]
+	c.mu.RUnlock()
+	if waits == nil {
+		c.mu.Lock()
+		waits = c.registerWait(s)
+		c.mu.Unlock()
+	}
+	waits.Update(queued)
+}
+
+// registerWait makes the histogram of a kind, or returns the one that is there; the lock
+// is held.
+func (c *counters) registerWait(s series) metrics.Timer {
+	s.kind = c.known(s)
+	waits := c.waits[s]
+	if waits == nil {
+		waits = newTimer()
+		c.waits[s] = waits
+		_ = c.registry.Register(operator.Labelled(metricAdmission, "service", s.service, "kind", s.kind), waits)
+	}
+	return waits
+}
+
+// known returns the label of a kind; the lock is held.
+func (c *counters) known(s series) string {
+	kind := [2]string{s.service, s.kind}
+	if !c.kinds[kind] && len(c.kinds) >= maxKinds {
+		return otherKind
+	}
+	c.kinds[kind] = true
+	return s.kind
+}
+
+func newTimer() metrics.Timer {
+	return metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NewMeter())
+}
+
 // statusClass returns the class of an HTTP status, such as 2xx.
 func statusClass(status uint16) string {
 	return strconv.Itoa(int(status)/http.StatusContinue) + "xx"
@@ -105,13 +150,7 @@
 // register makes the metrics of a series, or returns those that are there; the lock is
 // held.
 func (c *counters) register(s series) (metrics.Counter, metrics.Timer) {
-	if kind := [2]string{s.service, s.kind}; !c.kinds[kind] {
-		if len(c.kinds) >= maxKinds {
-			s.kind = otherKind
-		} else {
-			c.kinds[kind] = true
-		}
-	}
+	s.kind = c.known(s)
 	requests := c.requests[s]
 	if requests == nil {
 		requests = metrics.NewCounter()
@@ -122,7 +161,7 @@
 	s.reason = ""
 	latency := c.latency[s]
 	if latency == nil {
-		latency = metrics.NewCustomTimer(metrics.NewHistogram(histogram.NewSample()), metrics.NewMeter())
+		latency = newTimer()
 		c.latency[s] = latency
 		_ = c.registry.Register(operator.Labelled(metricLatency,
 			"service", s.service, "kind", s.kind, "outcome", s.outcome), latency)
