admission: one retry quota over all daemons, whatever their number

Cause: the fixed part of the bound on retries was divided by 64, and each daemon saved up to 10 retries for each service besides.

Each daemon counts its own requests and retries in a sliding window now, and may retry as long as they keep to the ratio and its part of the fixed number: that divided by the most daemons it has known, so that a cut makes nobody freer, and nothing of it in the first window, since daemons that start together know only some of the others. Nothing is saved up beyond the window. Half of the bound is left to calls of runs that are themselves repeats.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -31,22 +31,35 @@
 	floor  float64
 	tokens float64
 	at     time.Time
+	// share is nil unless a quota takes the place of ratio and floor.
+	share *share
 }
 
 // NewBudget returns a Budget with nothing saved up.
 func NewBudget(opts ...Option) Budget {
 	s := newSettings(opts)
-	return Budget{ratio: s.ratio, floor: s.floor}
+	b := Budget{ratio: s.ratio, floor: s.floor}
+	if s.quota != nil {
+		b.share = newShare(&s)
+	}
+	return b
 }
 
 // First notes a first try.
 func (b *Budget) First(now time.Time) {
+	if b.share != nil {
+		b.share.First(now)
+		return
+	}
 	b.accrue(now)
 	b.tokens = min(b.tokens+b.ratio, budgetDepth)
 }
 
 // Retry reports whether another try may be sent, and pays for it if so.
 func (b *Budget) Retry(now time.Time) bool {
+	if b.share != nil {
+		return b.share.Retry(now)
+	}
 	b.accrue(now)
 	if b.tokens < 1 {
 		return false
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -19,6 +19,8 @@
 
 	ratio      float64
 	floor      float64
+	quota      *Quota
+	members    func() int
 	roundRobin bool
 	ejectShare float64
 	hedgeCost  float64
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,6 +127,9 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.options = append(slices.Clone(f.options), admission.WithMembers(func() int {
+		return own.Standing().Snapshot.Size()
+	}))
 	return f
 }
 
