--- a/pipeline/ingress_test.go
+++ b/pipeline/ingress_test.go
@@ -420,23 +420,32 @@
 	// net/http takes the empty line without CR for the end of the first request.
 	text := "GET /1 HTTP/1.1\r\nHost: a\r\n\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
 	for _, tc := range []struct {
-		name  string
-		opts  []pipeline.Option
-		wrong bool
+		name string
+		opts []pipeline.Option
+		// begins is true if requests behind are begun before their turn.
+		begins bool
+		wrong  bool
 	}{
-		{"neither", nil, false},
-		{"end", []pipeline.Option{pipeline.WithMistakenEnd()}, false},
-		{"comparison", []pipeline.Option{pipeline.WithoutComparison()}, false},
-		{"both", []pipeline.Option{pipeline.WithMistakenEnd(), pipeline.WithoutComparison()}, true},
+		{"neither", nil, false, false},
+		{"end", []pipeline.Option{pipeline.WithMistakenEnd()}, true, false},
+		{"comparison", []pipeline.Option{pipeline.WithoutComparison()}, false, false},
+		{"both", []pipeline.Option{pipeline.WithMistakenEnd(), pipeline.WithoutComparison()}, true, true},
 	} {
 		g := newGate()
-		s := serve(t, g, tc.opts...)
+		// With room for one, the beginning of the next is handed over while one is served.
+		s := serve(t, g, append(tc.opts, pipeline.WithMaxCalls(1))...)
 		c := s.dial(t)
 		c.send(get("/0"))
 		g.waitBegun(t, "/0")
 		c.send(text + get("/3"))
-		time.Sleep(50 * time.Millisecond)
-		for _, path := range []string{"/0", "/1", "/2", "/3"} {
+		if tc.begins {
+			g.waitBegun(t, "/1")
+		}
+		close(g.door("/0"))
+		if tc.begins {
+			g.waitBegun(t, "/3")
+		}
+		for _, path := range []string{"/1", "/2", "/3"} {
 			close(g.door(path))
 		}
 		wrong := false
