pipeline: the 400 at the end of a malformed stream, with its reason

FuzzIngress, after 6 minutes: net/http says why in some of its 400s, and leaves those out as well in 4 of 600 exchanges of the input (6 of 600 through the ingress).

--- a/pipeline/fuzz_test.go
+++ b/pipeline/fuzz_test.go
@@ -56,11 +56,15 @@
 
 // settled returns the answers that net/http gives each time. A stream whose last request
 // is malformed, or ends in the middle, is answered 400 at its end or not at all, as the
-// connection is closed before or after the rest of it has come: of 100 exchanges of one
-// input with net/http alone 4 had the 400, of 300 of another not all.
+// connection is closed before or after the rest of it has come: with net/http alone 4 of
+// 100 exchanges of one kept input had the 400, and 596 of 600 of another.
 func settled(answers []answer) []answer {
-	if n := len(answers); n > 0 && answers[n-1] == (answer{http.StatusBadRequest, "400 Bad Request", true}) {
-		return answers[:n-1]
+	if len(answers) == 0 {
+		return answers
+	}
+	last := answers[len(answers)-1]
+	if last.status == http.StatusBadRequest && last.closes && strings.HasPrefix(last.body, "400 Bad Request") {
+		return answers[:len(answers)-1]
 	}
 	return answers
 }
