daemon, targethttp, platform: log what targets state about themselves

The adapter reads both statements (rate limit, leaving), and the daemon beside the target logs their changes; summary and metrics have the rate and the number of requests sent. No decision uses it yet.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -115,6 +115,7 @@
 	previous := f.beat
 	if previous.Process != beat.Process {
 		f.departed = beat.String() == f.departedTarget
+		d.condition.reset(beat.String())
 		d.log.Info(logs.EventNewTarget, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
 	}
@@ -123,7 +124,7 @@
 		d.gate.SetFixedLimit(beat.Slots)
 	}
 	d.limitColdRateLocked()
-	d.client.SetDestination(targethttp.Destination{Address: beat.Address, Name: beat.Name})
+	d.client.SetDestination(targethttp.Destination{Address: beat.Address, Name: beat.Name, Process: beat.String()})
 	switch {
 	case (beat.Draining || f.departed) && previous.Process != beat.Process:
 		// An earlier process of the daemon may have received the drain notice long ago, so
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -25,6 +25,8 @@
 	metricInFlight        = "target.inflight"
 	metricQueued          = "target.queued"
 	metricLimit           = "target.limit"
+	metricRateLimit       = "target.rate.limit"
+	metricSent            = "target.sent"
 	metricConfigNumber    = "config.number"
 	metricMembers         = "members"
 	metricRemainingLease  = "lease.left.seconds"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -72,11 +72,13 @@
 	protocols      Protocols
 	// fetchedGrants is nil unless the target fetches its grants.
 	fetchedGrants *fetchedGrants
-	callerServer  *http.Server
-	ingress       *pipeline.Ingress
-	applier       *operator.Applier
-	configCache   *configCache
-	counters      *counters
+	// condition is what the target states about itself in its answers.
+	condition    targetCondition
+	callerServer *http.Server
+	ingress      *pipeline.Ingress
+	applier      *operator.Applier
+	configCache  *configCache
+	counters     *counters
 	// sampler rate-limits the log lines about requests and state changes.
 	sampler *logs.Sampler
 	// configSince is when the current configuration came into force.
@@ -171,7 +173,8 @@
 	d.gate = admission.NewGate(d.admission...)
 	d.hotKeyDetector = handover.NewHotKeys(d.hotKeyOptions...)
 	d.server = owner.NewServer(d.gate, d.units, d.hotKeyDetector, d.owner...)
-	d.client = targethttp.NewClient(append(clientOptions, targethttp.WithSendCheck(d.server.CheckFence))...)
+	d.client = targethttp.NewClient(append(clientOptions,
+		targethttp.WithSendCheck(d.server.CheckFence), targethttp.WithConditionObserver(d.observeCondition))...)
 	d.server.SetClient(d.client)
 	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.addAuditEntry))
--- a/daemon/statelog.go
+++ b/daemon/statelog.go
@@ -68,6 +68,8 @@
 	gauge(metricInFlight, func() int64 { return int64(d.gate.Stats().InFlight) })
 	gauge(metricQueued, func() int64 { return int64(d.gate.Stats().Queued) })
 	gauge(metricLimit, func() int64 { return int64(d.gate.Stats().Limit) })
+	gauge(metricSent, func() int64 { return int64(d.gate.Stats().Admitted) })
+	_ = d.registry.Register(metricRateLimit, metrics.NewFunctionalGaugeFloat64(func() float64 { return d.condition.current().RateLimit }))
 	gauge(metricConfigNumber, func() int64 { return int64(d.configNumber()) })
 	gauge(metricMembers, func() int64 { return int64(d.KnownMembers()) })
 	gauge(metricOwnedSlots, func() int64 { return int64(d.status().Slots) })
--- a/daemon/summary.go
+++ b/daemon/summary.go
@@ -13,17 +13,18 @@
 
 // logSummaries periodically logs a summary of the requests served and refused.
 func (d *Daemon) logSummaries(ctx context.Context) error {
-	before := d.counters.totals()
+	before, sentBefore := d.counters.totals(), d.gate.Stats().Admitted
 	for storage.Sleep(ctx, summaryInterval) == nil {
 		now := d.counters.totals()
-		stats := d.gate.Stats()
+		stats, condition := d.gate.Stats(), d.condition.current()
 		fields := append(d.stateFields(),
 			logs.FieldAnswered, now.answered-before.answered, logs.FieldRefused, now.refused-before.refused,
 			logs.FieldUnknown, now.unknown-before.unknown, logs.FieldLinesHidden, now.hidden-before.hidden,
 			logs.FieldInFlight, stats.InFlight, logs.FieldWaiting, stats.Queued, logs.FieldLimit, stats.Limit, logs.FieldOwned, d.status().Slots,
+			logs.FieldSent, stats.Admitted-sentBefore, logs.FieldLimited, condition.RateLimited, logs.FieldRate, condition.RateLimit,
 		)
 		d.log.Info(logs.EventSummary, fields...)
-		before = now
+		before, sentBefore = now, stats.Admitted
 	}
 	return nil
 }
--- a/logs/events.go
+++ b/logs/events.go
@@ -38,6 +38,7 @@
 
 	EventNewTarget       = "target met"
 	EventTargetChanged   = "target changed"
+	EventTargetCondition = "target states its condition"
 	EventTargetClosed    = "target closed to new work"
 	EventTargetAnnounced = "target announced"
 	EventTargetSilent    = "target not heard of"
@@ -96,6 +97,8 @@
 	FieldLease       = "lease"       // remaining time of the lease
 	FieldLeft        = "left"        // remaining wait time of the request
 	FieldLimit       = "limit"       // maximum number of requests in progress at the target
+	FieldLeaving     = "leaving"     // whether the target states that it is about to stop
+	FieldLimited     = "limited"     // whether the target states a rate limit
 	FieldLinesHidden = "lineshidden" // lines about requests that were not logged since the last summary
 	FieldLost        = "lost"        // number of slots that are no longer owned
 	FieldMember      = "member"      // instance of another daemon
@@ -108,11 +111,13 @@
 	FieldPeer        = "peer"        // address of another daemon
 	FieldPID         = "pid"         // process ID
 	FieldQueued      = "queued"      // how long a request waited for admission
+	FieldRate        = "rate"        // rate limit that the target states, in requests per second
 	FieldReason      = "reason"      // reason, as one of the words listed in docs/OPERATIONS.md
 	FieldRefused     = "refused"     // requests refused since the last summary
 	FieldRetry       = "retry"       // delay after which the answer asks the caller to retry
 	FieldRunning     = "running"     // requests in progress at this daemon
 	FieldSequence    = "sequence"    // sequence number of a heartbeat
+	FieldSent        = "sent"        // requests admitted to the target since the last summary
 	FieldService     = "service"     // service of a request or daemon
 	FieldSettings    = "settings"    // name of the settings file
 	FieldSlot        = "slot"        // number of a slot
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/buffer"
+	"fulmarrun/clock"
 	"fulmarrun/tcp"
 	"fulmarrun/wire"
 )
@@ -52,8 +53,11 @@
 	// ChecksFences reports whether the target checks fences, so that its answer that it
 	// rejected a fence can be relied on.
 	ChecksFences bool
-	// Name identifies the current run of the target; empty if it has no name.
+	// Name is the name of the target; empty if it has none.
 	Name string
+	// Process identifies one run of the target, since the next run may have the same
+	// name; empty if it is not known.
+	Process string
 }
 
 // Client sends requests to the daemon's target.
@@ -68,6 +72,8 @@
 	sendCheck      func(Fence) error
 	dialect        Dialect
 	destination    atomic.Pointer[Destination]
+	// observeCondition is called with the condition in each answer.
+	observeCondition func(d Destination, c Condition, sentAt time.Time)
 
 	// The functions below are replaced by tests only.
 	read    func(ctx context.Context, resp *http.Response, method string, limit int64) ([]byte, error)
@@ -118,8 +124,11 @@
 		idleTimeout:    defaultIdleTimeout,
 		retryAfter:     defaultRetryAfter,
 		dialect:        NewDialect(),
-		sealed:         (*attempt).seal,
-		setConn:        (*attempt).assignConn,
+
+		observeCondition: func(Destination, Condition, time.Time) {},
+
+		sealed:  (*attempt).seal,
+		setConn: (*attempt).assignConn,
 	}
 	c.read = c.readWhole
 	for _, opt := range opts {
@@ -146,14 +155,14 @@
 }
 
 // SetDestination sends later requests to next. It closes idle connections if the
-// address or the name has changed.
+// address, the name or the process has changed.
 func (c *Client) SetDestination(next Destination) {
 	previous := c.destination.Load()
 	if previous != nil && *previous == next {
 		return
 	}
 	c.destination.Store(&next)
-	if previous != nil && (previous.Address != next.Address || previous.Name != next.Name) {
+	if previous != nil && (previous.Address != next.Address || previous.Name != next.Name || previous.Process != next.Process) {
 		c.transport.CloseIdleConnections()
 	}
 }
@@ -178,13 +187,14 @@
 	u.Scheme, u.Host = "http", d.Address.String()
 	for try := 1; ; try++ {
 		a := &attempt{}
+		sentAt := clock.Now()
 		if c.sendCheck != nil {
 			a.sendCheck = func() error { return c.sendCheck(f) }
 		}
 		resp, err := c.send(ctx, c.newRequest(ctx, r, f, *d, u), a)
 		if err == nil {
 			defer a.seal()
-			return c.readAnswer(ctx, r, d, resp, a)
+			return c.readAnswer(ctx, r, d, resp, a, sentAt)
 		}
 		if c.sealed(a) {
 			return c.unknown(ctx, ReasonLost, err)
@@ -281,7 +291,7 @@
 }
 
 // readAnswer reads the whole answer and determines the outcome.
-func (c *Client) readAnswer(ctx context.Context, r *wire.Request, d *Destination, resp *http.Response, a *attempt) (*wire.Response, error) {
+func (c *Client) readAnswer(ctx context.Context, r *wire.Request, d *Destination, resp *http.Response, a *attempt, sentAt time.Time) (*wire.Response, error) {
 	data, err := c.read(ctx, resp, r.Method, c.limit)
 	closeErr := resp.Body.Close()
 	info := c.dialect.Inspect(resp, *d)
@@ -289,6 +299,10 @@
 		a.closeConn()
 		return c.unknown(ctx, ReasonCrossed, errCrossed)
 	}
+	if info.RejectReason != ReasonFence {
+		// Another process at the address rejects requests for the expected one.
+		c.observeCondition(*d, info.Condition, sentAt)
+	}
 	if info.RejectReason != "" {
 		return c.notRun(info.RejectReason, fmt.Errorf("target rejected the request with status %d", resp.StatusCode))
 	}
--- /dev/null
+++ b/targethttp/condition.go
@@ -0,0 +1,43 @@
+package targethttp
+
+import "time"
+
+// Condition is what a target states about itself in an answer. The zero value is that of
+// an answer that states nothing.
+type Condition struct {
+	// RateLimited is true if the target states the rate of requests that it accepts from
+	// all daemons together. RateLimit is that rate, in requests per second.
+	RateLimited bool
+	RateLimit   float64
+	// Leaving is true if the target states that it is about to stop.
+	Leaving bool
+}
+
+// Statement is the latest condition of one process of a target.
+type Statement struct {
+	Condition
+	// limitedAt is when the last answer with a rate limit arrived.
+	limitedAt time.Time
+}
+
+// Update returns the statement after an answer with condition c that arrived at now, to a
+// request that was sent at sentAt. A process that has stated that it leaves does so in any
+// case. An answer without a rate limit ends an earlier one only if its request was sent
+// after that: answers on different connections may overtake each other.
+func (s Statement) Update(c Condition, sentAt, now time.Time) Statement {
+	s.Leaving = s.Leaving || c.Leaving
+	switch {
+	case c.RateLimited:
+		s.RateLimited, s.RateLimit, s.limitedAt = true, c.RateLimit, now
+	case s.RateLimited && !sentAt.Before(s.limitedAt):
+		s.RateLimited, s.RateLimit = false, 0
+	}
+	return s
+}
+
+// WithConditionObserver is a functional option that sets a function to call with the
+// condition in each answer, and with the time at which its request was sent. It must not
+// block.
+func WithConditionObserver(observe func(d Destination, c Condition, sentAt time.Time)) Option {
+	return func(c *Client) { c.observeCondition = observe }
+}
--- /dev/null
+++ b/targethttp/condition_test.go
@@ -0,0 +1,43 @@
+package targethttp_test
+
+import (
+	"testing"
+	"time"
+
+	"fulmarrun/targethttp"
+)
+
+// TestOvertakenAnswers checks that an answer that was overtaken by a later one does not end
+// what the later one states.
+func TestOvertakenAnswers(t *testing.T) {
+	start := time.Unix(100, 0)
+	type answer struct {
+		sent, arrived time.Duration
+		condition     targethttp.Condition
+	}
+	limited := func(rate float64) targethttp.Condition {
+		return targethttp.Condition{RateLimited: true, RateLimit: rate}
+	}
+	leaving := targethttp.Condition{Leaving: true}
+	for _, tc := range []struct {
+		name    string
+		answers []answer
+		want    targethttp.Condition
+	}{
+		{"nothing stated", []answer{{0, 1, targethttp.Condition{}}}, targethttp.Condition{}},
+		{"limit", []answer{{0, 1, limited(5)}}, limited(5)},
+		{"limit changes", []answer{{0, 3, limited(5)}, {1, 4, limited(9)}}, limited(9)},
+		{"limit of zero", []answer{{0, 3, limited(0)}}, limited(0)},
+		{"answer sent before the limit", []answer{{0, 3, limited(5)}, {2, 4, targethttp.Condition{}}}, limited(5)},
+		{"limit ends", []answer{{0, 3, limited(5)}, {3, 4, targethttp.Condition{}}}, targethttp.Condition{}},
+		{"leaving", []answer{{0, 1, leaving}, {2, 3, targethttp.Condition{}}}, leaving},
+	} {
+		var s targethttp.Statement
+		for _, a := range tc.answers {
+			s = s.Update(a.condition, start.Add(a.sent), start.Add(a.arrived))
+		}
+		if s.Condition != tc.want {
+			t.Errorf("%s: %+v, want %+v", tc.name, s.Condition, tc.want)
+		}
+	}
+}
--- a/targethttp/dialect.go
+++ b/targethttp/dialect.go
@@ -40,6 +40,8 @@
 	// Unverified is true for an answer that can't be passed on as it is: it lacks the
 	// proof that it comes from the target, or has a form that the dialect does not allow.
 	Unverified bool
+	// Condition is what the target states about itself.
+	Condition Condition
 }
 
 // NewDialect returns the dialect of this project's own targets.
