admission: keep to the rate that a target states

Cause: the answers' statement was read by nobody; admission knew slots, load and the cold rate only. Only that daemon can reach the target, so that its gate is the one place that keeps the sum.

The limiter of cold targets becomes RateLimiter and serves both. It keeps its tokens when a rate changes: the old one started with a full bucket at each new rate, so that a rate that varies from answer to answer limited nothing. A target that accepts none is sent one request in 5 s, since without an answer the limit would never end.

--- a/admission/core.go
+++ b/admission/core.go
@@ -41,7 +41,10 @@
 	nestedWaiting int
 
 	slots slots
-	cold  ColdLimiter
+	// cold limits the rate while the target is cold, stated to the rate that the target
+	// states.
+	cold   RateLimiter
+	stated RateLimiter
 	// latency is the exponentially weighted moving average of the latency of successful
 	// requests, in nanoseconds.
 	latency float64
@@ -106,7 +109,7 @@
 
 // canEnter reports whether a new request may be admitted right now.
 func (c *Core) canEnter(t *Ticket, now time.Time) bool {
-	if c.paused || c.cold.Wait(now) > 0 {
+	if c.paused || c.rateWait(now) > 0 {
 		return false
 	}
 	if t.Class == Patient {
@@ -183,7 +186,12 @@
 		latency = max(latency, float64(now.Sub(c.lastProgress)))
 	}
 	byLimit := time.Duration(latency * float64(count) / float64(max(c.Limit(now), 1)))
-	return max(byLimit, c.cold.DrainTime(count, now))
+	return max(byLimit, c.cold.DrainTime(count, now), c.stated.DrainTime(count, now))
+}
+
+// rateWait returns the time until the rate limits allow the next request.
+func (c *Core) rateWait(now time.Time) time.Duration {
+	return max(c.cold.Wait(now), c.stated.Wait(now))
 }
 
 // Done releases a slot. It returns false, and does nothing, if the slot was released
@@ -257,7 +265,7 @@
 	if w, ok := c.takeExpired(now); ok {
 		return c.refuse(w.ID, c.refusal(ReasonDeadline, now)), true
 	}
-	if c.paused || c.cold.Wait(now) > 0 {
+	if c.paused || c.rateWait(now) > 0 {
 		return Decision{}, false
 	}
 	if w, ok := c.takeReady(now); ok {
@@ -361,6 +369,7 @@
 // admit assigns a slot to a request.
 func (c *Core) admit(t *Ticket, id uint64, now time.Time) Decision {
 	c.cold.Take(now)
+	c.stated.Take(now)
 	c.reserve.Acquire(t.Depth)
 	inFlight := c.reserve.InFlight()
 	if inFlight == 1 {
@@ -434,14 +443,25 @@
 
 // SetColdRate limits the rate of admissions, in requests per second, until the given
 // time.
-func (c *Core) SetColdRate(until time.Time, perSecond float64) {
-	c.cold.SetRate(until, perSecond)
+func (c *Core) SetColdRate(now, until time.Time, perSecond float64) {
+	c.cold.SetRate(now, until, perSecond)
+}
+
+// SetStatedRate limits the rate of admissions to what the target states, in requests per
+// second, until EndStatedRate.
+func (c *Core) SetStatedRate(now time.Time, perSecond float64) {
+	c.stated.SetRate(now, time.Time{}, max(perSecond, minStatedRate))
+}
+
+// EndStatedRate removes the limit of SetStatedRate.
+func (c *Core) EndStatedRate() {
+	c.stated = RateLimiter{}
 }
 
 // NextWake returns when Next has to be called again even if nothing happens; false if
 // that is not needed.
 func (c *Core) NextWake(now time.Time) (at time.Time, ok bool) {
-	wait := c.cold.Wait(now)
+	wait := c.rateWait(now)
 	if wait == 0 || c.paused || c.urgent.Len()+c.patient.Len() == 0 {
 		return time.Time{}, false
 	}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -196,7 +196,18 @@
 // SetColdRate limits the rate of admissions, in requests per second, for a target that
 // has just started and reports how long it stays slow.
 func (g *Gate) SetColdRate(left time.Duration, perSecond float64) {
-	g.apply(func(now time.Time) { g.core.SetColdRate(now.Add(left), perSecond) })
+	g.apply(func(now time.Time) { g.core.SetColdRate(now, now.Add(left), perSecond) })
+}
+
+// SetStatedRate limits the rate of admissions, in requests per second, to what the target
+// states, until EndStatedRate.
+func (g *Gate) SetStatedRate(perSecond float64) {
+	g.apply(func(now time.Time) { g.core.SetStatedRate(now, perSecond) })
+}
+
+// EndStatedRate removes the limit of SetStatedRate.
+func (g *Gate) EndStatedRate() {
+	g.apply(func(time.Time) { g.core.EndStatedRate() })
 }
 
 // Pause stops admission until Resume. Requests that can still meet their deadline wait.
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -115,7 +115,7 @@
 	previous := f.beat
 	if previous.Process != beat.Process {
 		f.departed = beat.String() == f.departedTarget
-		d.condition.reset(beat.String())
+		d.resetCondition(beat.String())
 		d.log.Info(logs.EventNewTarget, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
 	}
--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -16,11 +16,13 @@
 	statement targethttp.Statement
 }
 
-// reset starts anew for another process of the target.
-func (c *targetCondition) reset(process string) {
+// resetCondition starts anew for another process of the target.
+func (d *Daemon) resetCondition(process string) {
+	c := &d.condition
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.process, c.statement = process, targethttp.Statement{}
+	d.limitStatedRate(targethttp.Condition{})
 }
 
 // current returns the condition of the current process.
@@ -39,9 +41,22 @@
 		c.statement = c.statement.Update(stated, sentAt, clock.Now())
 	}
 	after := c.statement.Condition
+	if after.RateLimited != before.RateLimited || after.RateLimit != before.RateLimit {
+		d.limitStatedRate(after)
+	}
 	c.mu.Unlock()
 	if after != before {
 		d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, from.Name, logs.FieldLimited, after.RateLimited,
 			logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving)
 	}
 }
+
+// limitStatedRate limits the requests to the target to the rate that it states. The caller
+// holds the lock of the condition, so that the last statement counts.
+func (d *Daemon) limitStatedRate(stated targethttp.Condition) {
+	if stated.RateLimited {
+		d.gate.SetStatedRate(stated.RateLimit)
+		return
+	}
+	d.gate.EndStatedRate()
+}
