daemon: close a target that says in its answers that it leaves

Callers saw nothing; a target whose heartbeats do not say that it leaves (they may be late, or lost behind a partition) went on to get work for as long as it answered.

Cause: as with the stated rate, nothing read the answers' statement; a target drained by its beats and its farewell alone. The daemon beside it now treats the first such answer as the farewell: idle at once, closed before the drain limit, and noted in its member row. The statement counts before the answer is passed on, so that no daemon's limit can run out earlier. The time of closing is also checked right before the first byte, since its timer may be late (a slow machine) or stand still (a suspended one).

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -70,12 +70,32 @@
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.beat.Name != name {
+	if f.beat.Name == name {
+		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
+	}
+}
+
+// targetLeaves records that a process of the target states in its answers that it leaves,
+// and that the first such answer was received that long ago.
+func (d *Daemon) targetLeaves(process string, age time.Duration) {
+	f := d.fetchedGrants
+	if f == nil {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.beat.String() == process {
+		d.closeDeparted("the target's answers say that it leaves", f.drainLimit-drainMargin-age)
+	}
+}
+
+// closeDeparted records that the current process of the target leaves for good, and sends
+// it no more work after the delay. The caller holds the lock.
+func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
+	f := d.fetchedGrants
 	f.departed, f.departedTarget = true, f.beat.String()
-	d.drainTarget("the target leaves", f.drainLimit-drainMargin)
-	d.publishTargetState("the target leaves")
+	d.drainTarget(reason, delay)
+	d.publishTargetState(reason)
 }
 
 // loadDepartedTarget restores the last departed target process from the member rows
--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -45,6 +45,9 @@
 		d.limitStatedRate(after)
 	}
 	c.mu.Unlock()
+	if after.Leaving && !before.Leaving {
+		d.targetLeaves(from.Process, 0)
+	}
 	if after != before {
 		d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, from.Name, logs.FieldLimited, after.RateLimited,
 			logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,7 +174,7 @@
 	d.hotKeyDetector = handover.NewHotKeys(d.hotKeyOptions...)
 	d.server = owner.NewServer(d.gate, d.units, d.hotKeyDetector, d.owner...)
 	d.client = targethttp.NewClient(append(clientOptions,
-		targethttp.WithSendCheck(d.server.CheckFence), targethttp.WithConditionObserver(d.observeCondition))...)
+		targethttp.WithSendCheck(d.checkSend), targethttp.WithConditionObserver(d.observeCondition))...)
 	d.server.SetClient(d.client)
 	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.addAuditEntry))
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -3,8 +3,12 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fulmarrun/admission"
+	"fulmarrun/clock"
 	"fulmarrun/logs"
+	"fulmarrun/targethttp"
 )
 
 const (
@@ -16,22 +20,43 @@
 	drainMargin = 500 * time.Millisecond
 )
 
+// errTargetClosed is returned for a request to a target that receives no more work.
+var errTargetClosed = errors.New("target is closed to new work")
+
 // drainTarget marks the target idle, so that other members serve instead, and stops
-// sending it work after the delay. The caller holds the lock.
+// sending it work after the delay, or earlier if an earlier call says so. The caller holds
+// the lock.
 func (d *Daemon) drainTarget(reason string, delay time.Duration) {
 	d.setIdle(true, reason)
 	f := d.fetchedGrants
-	if f.draining {
+	closesAt := clock.Now().Add(delay)
+	if f.draining && !closesAt.Before(f.closesAt) {
 		return
 	}
-	f.draining = true
+	f.draining, f.closesAt = true, closesAt
 	process := f.beat.Process
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.draining && f.beat.Process == process {
+		if f.draining && f.beat.Process == process && f.closesAt.Equal(closesAt) {
 			d.log.Info(logs.EventTargetClosed, logs.FieldTarget, process.Name)
 			d.gate.Report(admission.Health{Draining: true})
 		}
 	})
 }
+
+// checkSend reports whether a request may be sent to the target now. The timer that closes
+// the target may be late, also by the length of a suspension of the machine.
+func (d *Daemon) checkSend(fence targethttp.Fence) error {
+	if f := d.fetchedGrants; f != nil && f.isClosed(clock.Now()) {
+		return errTargetClosed
+	}
+	return d.server.CheckFence(fence)
+}
+
+// isClosed reports whether a target that drains or leaves may be sent no more work.
+func (f *fetchedGrants) isClosed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining && !now.Before(f.closesAt)
+}
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -43,6 +43,8 @@
 	// another process accepts work.
 	draining   bool
 	drainLimit time.Duration
+	// closesAt is when a draining target receives no more work.
+	closesAt time.Time
 	// domainOut is true while the failure domain is out of service, domainChanges counts
 	// the changes of domainOut, and domainClosed is true once the target is sent no more work
 	// because of it. domainOutLimit is set by WithDomainOutLimit.
