forward, owner, daemon: what targets state outlives the daemon beside them

After a restart of the daemon beside it, a target that had stated a rate got 20 requests in 4 s where 14 are allowed, and one that had said that it leaves got one more.

Cause: what a target says in its answers was known to one process alone and ended with it. The next process learns it with the first answer, after requests were sent. For the farewell the store keeps a note, but not while it accepts no writes.

Ruled out: the store alone (an outage is when it is needed), asking the other daemons at the start (one round to thousands, and those that are cut off do not answer), a first request as a probe (one is too many for a target that leaves).

Now the daemons that passed such answers on keep them and send them along with each request to that target. The daemon beside the target adopts a rate until the target has answered it, and a farewell always. It names the process, so that a new process of the target under the same name is not bound.

The messages Request and Response have a field more: daemons of this and of earlier builds do not forward requests to each other.

--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -7,6 +7,13 @@
 	"fulmarrun/clock"
 	"fulmarrun/logs"
 	"fulmarrun/targethttp"
+	"fulmarrun/wire"
+)
+
+// Sources of a target's condition, for the log.
+const (
+	sourceAnswer = "answer"
+	sourcePeer   = "peer"
 )
 
 // targetCondition is what the current process of the target has stated about itself.
@@ -14,44 +21,68 @@
 	mu        sync.Mutex
 	process   string
 	statement targethttp.Statement
+	// answered is true once the process has answered a request of this daemon.
+	answered bool
 }
 
-// resetCondition starts anew for another process of the target.
-func (d *Daemon) resetCondition(process string) {
-	c := &d.condition
+// current returns the condition of the current process.
+func (c *targetCondition) current() targethttp.Condition {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.process, c.statement = process, targethttp.Statement{}
-	d.limitStatedRate(targethttp.Condition{})
+	return c.statement.Condition
 }
 
-// current returns the condition of the current process.
-func (c *targetCondition) current() targethttp.Condition {
+// resetCondition starts anew for another process of the target.
+func (d *Daemon) resetCondition(process string) {
+	c := &d.condition
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.statement.Condition
+	c.process, c.statement, c.answered = process, targethttp.Statement{}, false
+	d.limitStatedRate(targethttp.Condition{})
 }
 
 // observeCondition records the condition in an answer of the target.
 func (d *Daemon) observeCondition(from targethttp.Destination, stated targethttp.Condition, sentAt time.Time) {
+	d.updateCondition(from.Process, sourceAnswer, 0, func(c *targetCondition) {
+		c.statement = c.statement.Update(stated, sentAt, clock.Now())
+		c.answered = true
+	})
+}
+
+// adoptCondition records what another daemon knows about the target from earlier answers. A
+// rate counts only until the target has answered this daemon, which then knows better.
+func (d *Daemon) adoptCondition(known *wire.TargetCondition) {
+	d.updateCondition(known.Process, sourcePeer, known.Age, func(c *targetCondition) {
+		adopted := targethttp.ReceivedCondition(known)
+		if c.answered {
+			adopted = targethttp.Condition{Leaving: known.Leaving}
+		}
+		c.statement = c.statement.Adopt(adopted, clock.Now())
+	})
+}
+
+// updateCondition changes the condition of a process of the target, if it is the current
+// one, and puts it in force. age is how long ago the target has stated it.
+func (d *Daemon) updateCondition(process, source string, age time.Duration, update func(*targetCondition)) {
 	c := &d.condition
 	c.mu.Lock()
 	before := c.statement.Condition
-	if from.Process == c.process {
-		c.statement = c.statement.Update(stated, sentAt, clock.Now())
+	if process == c.process {
+		update(c)
 	}
 	after := c.statement.Condition
 	if after.RateLimited != before.RateLimited || after.RateLimit != before.RateLimit {
 		d.limitStatedRate(after)
 	}
 	c.mu.Unlock()
-	if after.Leaving && !before.Leaving {
-		d.targetLeaves(from.Process, 0)
+	if after == before {
+		return
 	}
-	if after != before {
-		d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, from.Name, logs.FieldLimited, after.RateLimited,
-			logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving)
+	if after.Leaving && !before.Leaving {
+		d.targetLeaves(process, age)
 	}
+	d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, process, logs.FieldFrom, source,
+		logs.FieldLimited, after.RateLimited, logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving, logs.FieldAge, age)
 }
 
 // limitStatedRate limits the requests to the target to the rate that it states. The caller
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,7 +168,7 @@
 	}
 	d.store = storage.Track(d.store, clock.Now, storage.WithAvailabilityObserver(d.logStoreChange))
 	d.counters = newCounters(d.registry)
-	d.owner = append(d.owner, owner.WithObserver(d.logServed))
+	d.owner = append(d.owner, owner.WithObserver(d.logServed), owner.WithKnownCondition(d.adoptCondition))
 	d.forward = append(d.forward, forward.WithObserver(d.logFailedTry))
 	d.gate = admission.NewGate(d.admission...)
 	d.hotKeyDetector = handover.NewHotKeys(d.hotKeyOptions...)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/admission"
+	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/owner"
 	"fulmarrun/peer"
@@ -110,6 +111,8 @@
 	// tryOnce is true if a keyed request is never retried.
 	tryOnce bool
 	observe func(Try)
+	// statements is what targets of other daemons have stated in their answers.
+	statements statements
 
 	mu sync.Mutex
 	// budgets holds the retry budgets by service, pools the member pools by service
@@ -208,7 +211,13 @@
 	if to.Generation == f.ownServer.ServingState().Generation {
 		return f.ownServer.Serve(ctx, req), nil
 	}
-	return f.call(ctx, to, req)
+	sentAt := clock.Now()
+	req.Known = f.statements.known(to.Instance, sentAt)
+	response, err := f.call(ctx, to, req)
+	if err == nil && response.Outcome == wire.OutcomeAnswered {
+		f.statements.record(to.Instance, response.Stated, sentAt, clock.Now())
+	}
+	return response, err
 }
 
 // notStarted reports whether err means that the peer did not start serving the call.
--- a/owner/server.go
+++ b/owner/server.go
@@ -76,6 +76,12 @@
 	return func(s *Server) { s.granted, s.onDenied = granted, onDenied }
 }
 
+// WithKnownCondition is a functional option that sets a function to call with what the
+// sender of a request knows about the target, before the request is admitted.
+func WithKnownCondition(adopt func(*wire.TargetCondition)) Option {
+	return func(s *Server) { s.adoptCondition = adopt }
+}
+
 // WithObserver is a functional option that sets a function to call at the end of
 // each request. It must not block.
 func WithObserver(observe func(ServedRequest)) Option {
@@ -107,6 +113,8 @@
 	granted  func(slot uint32) bool
 	onDenied func(slot uint32)
 	observe  func(ServedRequest)
+	// adoptCondition is called with what the sender of a request knows about the target.
+	adoptCondition func(*wire.TargetCondition)
 
 	ledger atomic.Pointer[outcome.Ledger]
 
@@ -120,7 +128,7 @@
 
 // NewServer returns a server that rejects all requests until Publish.
 func NewServer(gate *admission.Gate, units *handover.Units, hot *handover.HotKeys, opts ...Option) *Server {
-	s := &Server{gate: gate, units: units, hot: hot, rates: handover.NewRates(), lease: newLeaseClock(clock.Now), observe: func(ServedRequest) {}}
+	s := &Server{gate: gate, units: units, hot: hot, rates: handover.NewRates(), lease: newLeaseClock(clock.Now), observe: func(ServedRequest) {}, adoptCondition: func(*wire.TargetCondition) {}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -198,6 +206,9 @@
 func (s *Server) Serve(ctx context.Context, req *wire.Request) *wire.Response {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	if req.Known != nil {
+		s.adoptCondition(req.Known)
+	}
 	began := time.Now()
 	state := s.state.Load()
 	kind := kindOf(state, req)
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -324,6 +324,7 @@
 		Status:  uint16(resp.StatusCode),
 		Headers: responseHeaders(resp.Header),
 		Body:    data,
+		Stated:  info.Condition.message(d.Process),
 	}
 	if info.Shed {
 		out.Reason = ReasonShed
--- a/targethttp/condition.go
+++ b/targethttp/condition.go
@@ -1,6 +1,10 @@
 package targethttp
 
-import "time"
+import (
+	"time"
+
+	"fulmarrun/wire"
+)
 
 // Condition is what a target states about itself in an answer. The zero value is that of
 // an answer that states nothing.
@@ -13,19 +17,55 @@
 	Leaving bool
 }
 
+// message returns the condition of a process of the target as daemons exchange it; nil if
+// it states nothing.
+func (c Condition) message(process string) *wire.TargetCondition {
+	if c == (Condition{}) {
+		return nil
+	}
+	return &wire.TargetCondition{Process: process, RateLimited: c.RateLimited, RateLimit: c.RateLimit, Leaving: c.Leaving}
+}
+
+// ReceivedCondition returns the condition in a message of another daemon; the zero value
+// for nil.
+func ReceivedCondition(m *wire.TargetCondition) Condition {
+	if m == nil {
+		return Condition{}
+	}
+	return Condition{RateLimited: m.RateLimited, RateLimit: m.RateLimit, Leaving: m.Leaving}
+}
+
 // Statement is the latest condition of one process of a target.
 type Statement struct {
 	Condition
-	// limitedAt is when the last answer with a rate limit arrived.
+	// limitedAt is when the last answer with a rate limit arrived, leavingAt when the first
+	// one arrived that states that the target leaves.
 	limitedAt time.Time
+	leavingAt time.Time
+}
+
+// Message returns the statement of a process of the target as daemons exchange it; nil if
+// the target has stated nothing.
+func (s Statement) Message(process string, now time.Time) *wire.TargetCondition {
+	m := s.message(process)
+	if m != nil && m.Leaving {
+		m.Age = now.Sub(s.leavingAt)
+	}
+	return m
 }
 
+// Adopt returns the statement after another daemon has passed on condition c at now. It ends
+// no rate limit.
+func (s Statement) Adopt(c Condition, now time.Time) Statement { return s.Update(c, time.Time{}, now) }
+
 // Update returns the statement after an answer with condition c that arrived at now, to a
 // request that was sent at sentAt. A process that has stated that it leaves does so in any
 // case. An answer without a rate limit ends an earlier one only if its request was sent
 // after that: answers on different connections may overtake each other.
 func (s Statement) Update(c Condition, sentAt, now time.Time) Statement {
-	s.Leaving = s.Leaving || c.Leaving
+	if c.Leaving && !s.Leaving {
+		s.Leaving, s.leavingAt = true, now
+	}
 	switch {
 	case c.RateLimited:
 		s.RateLimited, s.RateLimit, s.limitedAt = true, c.RateLimit, now
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -12,7 +12,7 @@
 //msgp:shim UnixTime as:uint32 using:uint32/UnixTime
 //msgp:shim State as:uint8 using:uint8/State
 //msgp:shim netip.AddrPort as:string using:addrPortString/addrPortParse mode:convert
-//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey ReleasedSlots RecordHandover Record Version Vote Verdict Edit Delta ResendRequest Policy
+//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey ReleasedSlots RecordHandover Record Version Vote Verdict Edit Delta ResendRequest Policy TargetCondition
 
 // Generation identifies one incarnation of a daemon. It is random and never
 // zero; a daemon gets a new one at each restart.
@@ -62,6 +62,9 @@
 	Depth uint8
 	// Policy is the policy of the request's kind, if the forwarding daemon sends it.
 	Policy Policy
+	// Known is what the forwarding daemon has learned from earlier answers of the target;
+	// nil if that is nothing of note. The daemon beside the target may have started since.
+	Known  *TargetCondition
 	Method string
 	// Path is the path and query that the target receives.
 	Path    string
@@ -89,6 +92,20 @@
 	OriginService string
 }
 
+// TargetCondition is what one process of a target has stated about itself.
+type TargetCondition struct {
+	// Process identifies the process of the target.
+	Process string
+	// RateLimited is true if the target states the rate of requests that it accepts from
+	// all daemons together. RateLimit is that rate, in requests per second.
+	RateLimited bool
+	RateLimit   float64
+	// Leaving is true if the target states that it is about to stop.
+	Leaving bool
+	// Age is how long ago the sender received the first answer that states Leaving.
+	Age time.Duration
+}
+
 // Outcome states what is known about the execution of a request.
 type Outcome uint8
 
@@ -113,8 +130,11 @@
 	// NotOwner is true if the sender does not own the key. The request did not run,
 	// so the receiver may route it again.
 	NotOwner bool
-	Headers  []Header
-	Body     []byte
+	// Stated is what the target states about itself in this answer; nil if it states
+	// nothing.
+	Stated  *TargetCondition
+	Headers []Header
+	Body    []byte
 }
 
 // Cancel withdraws the request frame with the same frame ID: its answer is no
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -1666,8 +1666,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 13
-	o = append(o, 0x9d)
+	// array header, size 14
+	o = append(o, 0x9e)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Kind)
 	o = msgp.AppendString(o, z.Key)
@@ -1681,6 +1681,15 @@
 		err = msgp.WrapError(err, "Policy")
 		return
 	}
+	if z.Known == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Known.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Known")
+			return
+		}
+	}
 	o = msgp.AppendString(o, z.Method)
 	o = msgp.AppendString(o, z.Path)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
@@ -1702,8 +1711,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -1751,6 +1760,22 @@
 		err = msgp.WrapError(err, "Policy")
 		return
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Known = nil
+	} else {
+		if z.Known == nil {
+			z.Known = new(TargetCondition)
+		}
+		bts, err = z.Known.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Known")
+			return
+		}
+	}
 	z.Method, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Method")
@@ -1805,7 +1830,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize + msgp.Uint64Size + msgp.DurationSize + msgp.Uint8Size + z.Policy.Msgsize() + msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Path) + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Kind) + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize + msgp.Uint64Size + msgp.DurationSize + msgp.Uint8Size + z.Policy.Msgsize()
+	if z.Known == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Known.Msgsize()
+	}
+	s += msgp.StringPrefixSize + len(z.Method) + msgp.StringPrefixSize + len(z.Path) + msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
@@ -1889,13 +1920,22 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Response) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint8(o, uint8(z.Outcome))
 	o = msgp.AppendUint16(o, z.Status)
 	o = msgp.AppendString(o, z.Reason)
 	o = msgp.AppendDuration(o, z.RetryAfter)
 	o = msgp.AppendBool(o, z.NotOwner)
+	if z.Stated == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Stated.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Stated")
+			return
+		}
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
 	for za0001 := range z.Headers {
 		// array header, size 2
@@ -1915,8 +1955,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	{
@@ -1948,6 +1988,22 @@
 		err = msgp.WrapError(err, "NotOwner")
 		return
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Stated = nil
+	} else {
+		if z.Stated == nil {
+			z.Stated = new(TargetCondition)
+		}
+		bts, err = z.Stated.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Stated")
+			return
+		}
+	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -1992,7 +2048,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Response) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Reason) + msgp.DurationSize + msgp.BoolSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Reason) + msgp.DurationSize + msgp.BoolSize
+	if z.Stated == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Stated.Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += 1 + msgp.StringPrefixSize + len(z.Headers[za0001].Name) + msgp.StringPrefixSize + len(z.Headers[za0001].Value)
 	}
@@ -2865,6 +2927,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TargetCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendString(o, z.Process)
+	o = msgp.AppendBool(o, z.RateLimited)
+	o = msgp.AppendFloat64(o, z.RateLimit)
+	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendDuration(o, z.Age)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TargetCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Process, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Process")
+		return
+	}
+	z.RateLimited, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RateLimited")
+		return
+	}
+	z.RateLimit, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RateLimit")
+		return
+	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	z.Age, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TargetCondition) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Process) + msgp.BoolSize + msgp.Float64Size + msgp.BoolSize + msgp.DurationSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z UnixTime) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
