handover: a target that limits its rate is not idle

Placing knows the load of a target by what it runs and what waits, and a target that accepts a certain rate runs little and lets nothing wait.

The load is now the offered rate as a share of the stated one, where that is more.

--- a/admission/core.go
+++ b/admission/core.go
@@ -492,6 +492,7 @@
 	s.Proven = c.limiter.Proven()
 	s.Latency = time.Duration(c.latency)
 	s.Baseline = c.limiter.Baseline()
+	s.StatedRate = c.stated.rate
 	s.Paused = c.paused
 	s.Draining = c.closed || c.health.Draining
 	return s
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -15,6 +15,9 @@
 	Latency time.Duration
 	// Baseline is the latency of the target without load.
 	Baseline time.Duration
+	// StatedRate is the rate of requests to which the target limits itself, in requests per
+	// second; zero if it does not.
+	StatedRate float64
 	// Admitted, Refused and Shed count all requests since the start.
 	Admitted uint64
 	Refused  uint64
--- a/daemon/relief.go
+++ b/daemon/relief.go
@@ -12,7 +12,6 @@
 	"fulmarrun/logs"
 	"fulmarrun/routes"
 	"fulmarrun/storage"
-	"fulmarrun/wire"
 )
 
 const (
@@ -30,9 +29,10 @@
 // watchLoad samples the load of the target, and moves key ranges to other members while
 // the target is overloaded compared with them.
 func (i *incarnation) watchLoad(ctx context.Context) {
+	var meter handover.LoadMeter
 	next := clock.Now().Add(reliefInterval)
 	for sleepStart := clock.Now(); storage.Sleep(ctx, handover.LoadSampleInterval) == nil; sleepStart = clock.Now() {
-		i.d.sampleLoad()
+		i.d.sampleLoad(&meter)
 		now := clock.Now()
 		if late := now.Sub(sleepStart) - handover.LoadSampleInterval; late > lateThreshold {
 			stats := i.d.gate.Stats()
@@ -52,9 +52,12 @@
 }
 
 // sampleLoad adds one sample to the smoothed load of the target.
-func (d *Daemon) sampleLoad() {
+func (d *Daemon) sampleLoad(meter *handover.LoadMeter) {
 	stats := d.gate.Stats()
-	sample := utilization(&wire.Status{InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit})
+	sample := meter.Sample(handover.TargetLoad{
+		InFlight: stats.InFlight, Queued: stats.Queued, Limit: stats.Limit,
+		Offered: stats.Admitted + stats.Refused, RateLimit: stats.StatedRate,
+	}, clock.Now())
 	next := d.meanTargetLoad().Update(sample)
 	d.targetLoadMean.Store(&next)
 }
