admission: refusals for a rate say so

A refusal because the target is cold or states a rate had the reason deadline, as one for a full target. It is rate now, so that logs and metrics tell the two apart.

--- a/admission/core.go
+++ b/admission/core.go
@@ -85,7 +85,7 @@
 	c.reserve.RecordCall(t.Depth, now)
 	if c.canEnter(&t, now) {
 		if c.reserve.InFlight() > 0 && t.missesDeadline(now, c.limiter.MinLatency()) {
-			return c.refuse(0, c.refusal(ReasonDeadline, now))
+			return c.refuse(0, c.refusal(c.lateReason(now), now))
 		}
 		return c.admit(&t, 0, now)
 	}
@@ -144,7 +144,7 @@
 		return c.refuse(0, c.refusal(ReasonFull, now))
 	}
 	if c.willMissDeadline(&t, queue.Ahead(&w), now) {
-		return c.refuse(0, c.refusal(ReasonDeadline, now))
+		return c.refuse(0, c.refusal(c.lateReason(now), now))
 	}
 	c.lastID++
 	c.prune = true
@@ -250,7 +250,7 @@
 		return Decision{Verdict: Waiting, ID: id, Cutoff: cutoff}, true
 	}
 	c.Withdraw(id)
-	return c.refuse(id, c.refusal(ReasonDeadline, now)), true
+	return c.refuse(id, c.refusal(c.lateReason(now), now)), true
 }
 
 // Next returns the next decision on a waiting request, if there is one.
@@ -263,7 +263,7 @@
 		return c.evict()
 	}
 	if w, ok := c.takeExpired(now); ok {
-		return c.refuse(w.ID, c.refusal(ReasonDeadline, now)), true
+		return c.refuse(w.ID, c.refusal(c.lateReason(now), now)), true
 	}
 	if c.paused || c.rateWait(now) > 0 {
 		return Decision{}, false
@@ -393,6 +393,14 @@
 	return Refusal{Reason: reason, RetryAfter: jitter(wait, c.random)}
 }
 
+// lateReason returns the reason to refuse a request that can't meet its deadline.
+func (c *Core) lateReason(now time.Time) string {
+	if c.rateWait(now) > 0 && c.reserve.InFlight() < c.Limit(now) {
+		return ReasonRate
+	}
+	return ReasonDeadline
+}
+
 // unavailable returns a Refusal with the delay after which another target may have
 // taken over.
 func (c *Core) unavailable(reason string) Refusal {
--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -111,7 +111,7 @@
 		t.Fatalf("first request: %+v", d)
 	}
 	d := core.Enter(ticket, now)
-	if d.Verdict != admission.Refused || d.Refusal.Reason != admission.ReasonDeadline || d.Refusal.RetryAfter < 500*time.Millisecond {
+	if d.Verdict != admission.Refused || d.Refusal.Reason != admission.ReasonRate || d.Refusal.RetryAfter < 500*time.Millisecond {
 		t.Errorf("request beyond the rate: %+v", d)
 	}
 	core.EndStatedRate()
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -9,6 +9,9 @@
 const (
 	// ReasonDeadline means that the request can't meet its deadline.
 	ReasonDeadline = "deadline"
+	// ReasonRate means that the request can't meet its deadline because the target is cold
+	// or states the rate of requests that it accepts.
+	ReasonRate = "rate"
 	// ReasonFull means that the queue is full.
 	ReasonFull = "full"
 	// ReasonDepth means that the request is nested too deeply.
