admission: wake for an earlier token than the one waited for

A request that waited at a low stated rate went on to wait, up to 5 s, after the target had stated a higher one: one timer at a time was set, for the token of the rate in force then. Found on reading. TestWaiterAfterRateChange failed before (still waiting after 3 s).

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -23,8 +23,8 @@
 	// waiting maps the ID of each waiting request to the channel that receives its
 	// decision.
 	waiting map[uint64]chan Decision
-	// wakeScheduled is true while a timer of scheduleWake is running.
-	wakeScheduled bool
+	// wakeAt is when the earliest timer of scheduleWake ends; zero if none is running.
+	wakeAt time.Time
 }
 
 // NewGate returns a Gate to a target without any measurements.
@@ -143,12 +143,16 @@
 // caller holds the lock.
 func (g *Gate) scheduleWake(now time.Time) {
 	at, ok := g.core.NextWake(now)
-	if !ok || g.wakeScheduled {
+	if !ok || !g.wakeAt.IsZero() && !at.Before(g.wakeAt) {
 		return
 	}
-	g.wakeScheduled = true
+	g.wakeAt = at
 	time.AfterFunc(at.Sub(now), func() {
-		g.apply(func(time.Time) { g.wakeScheduled = false })
+		g.apply(func(time.Time) {
+			if g.wakeAt.Equal(at) {
+				g.wakeAt = time.Time{}
+			}
+		})
 	})
 }
 
--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -119,3 +119,32 @@
 		t.Errorf("request after the end of the rate: %+v", d)
 	}
 }
+
+// TestWaiterAfterRateChange checks that a request that waits for the next token of a low rate
+// is admitted as soon as a higher one allows it.
+func TestWaiterAfterRateChange(t *testing.T) {
+	gate := admission.NewGate(admission.WithFixedLimit(10))
+	gate.SetStatedRate(0.2)
+	permit, err := gate.Enter(t.Context(), admission.Ticket{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	permit.Done(admission.Completion{Latency: time.Millisecond})
+	admitted := make(chan error, 1)
+	go func() {
+		_, err := gate.Enter(t.Context(), admission.Ticket{})
+		admitted <- err
+	}()
+	for gate.Stats().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	gate.SetStatedRate(20)
+	select {
+	case err := <-admitted:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(4 * time.Second):
+		t.Error("the request still waits for the token of the low rate")
+	}
+}
