daemon: close a target at once that leaves by its first answer

After a restart of its daemon, a target that leaves was given work for the whole drain time once more, counted from the first answer that the new process read; other daemons may have passed on such answers, or the earlier process acknowledged the farewell, long before. A target that drains by its beats was handled so already.

--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -16,6 +16,9 @@
 	sourcePeer   = "peer"
 )
 
+// unknownAge is the age of a statement that may have been made at any time before.
+const unknownAge = time.Hour
+
 // targetCondition is what the current process of the target has stated about itself.
 type targetCondition struct {
 	mu        sync.Mutex
@@ -41,34 +44,41 @@
 	d.limitStatedRate(targethttp.Condition{})
 }
 
-// observeCondition records the condition in an answer of the target.
+// observeCondition records the condition in an answer of the target. Of a target that leaves
+// by its first answer to this daemon it is not known since when: earlier answers may have
+// gone through an earlier process of the daemon.
 func (d *Daemon) observeCondition(from targethttp.Destination, stated targethttp.Condition, sentAt time.Time) {
-	d.updateCondition(from.Process, sourceAnswer, 0, func(c *targetCondition) {
+	d.updateCondition(from.Process, sourceAnswer, func(c *targetCondition) (age time.Duration) {
+		if !c.answered {
+			age = unknownAge
+		}
 		c.statement = c.statement.Update(stated, sentAt, clock.Now())
 		c.answered = true
+		return age
 	})
 }
 
 // adoptCondition records what another daemon knows about the target from earlier answers. A
 // rate counts only until the target has answered this daemon, which then knows better.
 func (d *Daemon) adoptCondition(known *wire.TargetCondition) {
-	d.updateCondition(known.Process, sourcePeer, known.Age, func(c *targetCondition) {
+	d.updateCondition(known.Process, sourcePeer, func(c *targetCondition) time.Duration {
 		adopted := targethttp.ReceivedCondition(known)
 		if c.answered {
 			adopted = targethttp.Condition{Leaving: known.Leaving}
 		}
 		c.statement = c.statement.Adopt(adopted, clock.Now())
+		return known.Age
 	})
 }
 
 // updateCondition changes the condition of a process of the target, if it is the current
-// one, and puts it in force. age is how long ago the target has stated it.
-func (d *Daemon) updateCondition(process, source string, age time.Duration, update func(*targetCondition)) {
+// one, and puts it in force. update returns how long ago the target has stated it.
+func (d *Daemon) updateCondition(process, source string, update func(*targetCondition) (age time.Duration)) {
 	c := &d.condition
 	c.mu.Lock()
-	before := c.statement.Condition
+	before, age := c.statement.Condition, time.Duration(0)
 	if process == c.process {
-		update(c)
+		age = update(c)
 	}
 	after := c.statement.Condition
 	if after.RateLimited != before.RateLimited || after.RateLimit != before.RateLimit {
@@ -82,7 +92,7 @@
 		d.targetLeaves(process, age)
 	}
 	d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, process, logs.FieldFrom, source,
-		logs.FieldLimited, after.RateLimited, logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving, logs.FieldAge, age)
+		logs.FieldLimited, after.RateLimited, logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving)
 }
 
 // limitStatedRate limits the requests to the target to the rate that it states. The caller
