targethttp: only a whole answer ends what a target states

An answer that is cut off, can't be verified or rejects the request counted as one that states nothing, so that it ended a rate limit until the next whole answer: each time what waited was sent at once, and the bucket was full again. Targets that spoil one answer in fifty while they limit their rate would have got too much.

TestPartialAnswerEndsNoLimit failed before in four of six cases.

--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -24,7 +24,7 @@
 	mu        sync.Mutex
 	process   string
 	statement targethttp.Statement
-	// answered is true once the process has answered a request of this daemon.
+	// answered is true once the process has given this daemon a whole answer.
 	answered bool
 }
 
@@ -53,7 +53,7 @@
 			age = unknownAge
 		}
 		c.statement = c.statement.Update(stated, sentAt, clock.Now())
-		c.answered = true
+		c.answered = c.answered || !sentAt.IsZero()
 		return age
 	})
 }
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -299,6 +299,10 @@
 		a.closeConn()
 		return c.unknown(ctx, ReasonCrossed, errCrossed)
 	}
+	whole := err == nil && closeErr == nil && info.RejectReason == "" && !info.Unverified
+	if !whole {
+		sentAt = time.Time{}
+	}
 	if info.RejectReason != ReasonFence {
 		// Another process at the address rejects requests for the expected one.
 		c.observeCondition(*d, info.Condition, sentAt)
--- a/targethttp/condition.go
+++ b/targethttp/condition.go
@@ -76,8 +76,9 @@
 }
 
 // WithConditionObserver is a functional option that sets a function to call with the
-// condition in each answer, and with the time at which its request was sent. It must not
-// block.
+// condition in each answer, and with the time at which its request was sent; zero if the
+// answer is not whole or rejects the request, so that what it does not state may be missing.
+// It must not block.
 func WithConditionObserver(observe func(d Destination, c Condition, sentAt time.Time)) Option {
 	return func(c *Client) { c.observeCondition = observe }
 }
--- a/targethttp/condition_test.go
+++ b/targethttp/condition_test.go
@@ -1,9 +1,11 @@
 package targethttp_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"fulmarrun/clock"
 	"fulmarrun/targethttp"
 )
 
@@ -46,3 +48,47 @@
 		}
 	}
 }
+
+// TestPartialAnswerEndsNoLimit checks that only a whole answer to the request ends what
+// earlier answers state: an answer that is cut off, rejects the request or can't be verified
+// may lack the statement for that reason.
+func TestPartialAnswerEndsNoLimit(t *testing.T) {
+	const limited = "HTTP/1.1 200 OK\r\nRate: 5\r\nContent-Length: 2\r\n\r\nok"
+	for _, tc := range []struct {
+		name, next string
+		want       bool
+	}{
+		{"whole", okAnswer, false},
+		{"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", true},
+		{"of another request", "HTTP/1.1 200 OK\r\nIdempotency-Key: other\r\nContent-Length: 2\r\n\r\nok", true},
+		{"rejected", "HTTP/1.1 503 Service Unavailable\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n", true},
+		{"unverified", "HTTP/1.1 200 OK\r\nUnverified: 1\r\nContent-Length: 2\r\n\r\nok", true},
+	} {
+		dialect := targethttp.NewDialect()
+		dialect.Inspect = func(resp *http.Response, _ targethttp.Destination) targethttp.AnswerInfo {
+			info := targethttp.AnswerInfo{
+				ID:         resp.Header.Get(targethttp.HeaderID),
+				Unverified: resp.Header.Get("Unverified") != "",
+				Condition:  targethttp.Condition{RateLimited: resp.Header.Get("Rate") != "", RateLimit: 5},
+			}
+			if resp.Header.Get("Rejected") != "" {
+				info.RejectReason = targethttp.ReasonShed
+			}
+			return info
+		}
+		var statement targethttp.Statement
+		client := targethttp.NewClient(targethttp.WithDialect(dialect),
+			targethttp.WithConditionObserver(func(_ targethttp.Destination, c targethttp.Condition, sentAt time.Time) {
+				statement = statement.Update(c, sentAt, clock.Now())
+			}))
+		for _, answer := range []string{limited, tc.next} {
+			client.SetDestination(targethttp.Destination{Address: listen(t, answerWith(answer))})
+			_, _ = client.Do(t.Context(), newRequest(), targethttp.Fence{})
+		}
+		client.Close()
+		if statement.RateLimited != tc.want {
+			t.Errorf("%s: limited %v, want %v", tc.name, statement.RateLimited, tc.want)
+		}
+	}
+}
