forward, targethttp, daemon: no boot clock for the order of statements

CLOCK_BOOTTIME is a system call for each request, three of them since the statements came. The order of statements and their age at the daemon that passed them on need no time that goes on in a suspension: a daemon that was suspended is no longer bound. The time at which a target closes keeps it. No change of behaviour otherwise; the tests of the package and of platform on statements pass.

--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"fulmarrun/clock"
 	"fulmarrun/logs"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
@@ -52,7 +51,7 @@
 		if !c.answered {
 			age = unknownAge
 		}
-		c.statement = c.statement.Update(stated, sentAt, clock.Now())
+		c.statement = c.statement.Update(stated, sentAt, time.Now())
 		c.answered = c.answered || !sentAt.IsZero()
 		return age
 	})
@@ -66,7 +65,7 @@
 		if c.answered {
 			adopted = targethttp.Condition{Leaving: known.Leaving}
 		}
-		c.statement = c.statement.Adopt(adopted, clock.Now())
+		c.statement = c.statement.Adopt(adopted, time.Now())
 		return known.Age
 	})
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -48,15 +48,15 @@
 // checkSend reports whether a request may be sent to the target now. The timer that closes
 // the target may be late, also by the length of a suspension of the machine.
 func (d *Daemon) checkSend(fence targethttp.Fence) error {
-	if f := d.fetchedGrants; f != nil && f.isClosed(clock.Now()) {
+	if f := d.fetchedGrants; f != nil && f.isClosed() {
 		return errTargetClosed
 	}
 	return d.server.CheckFence(fence)
 }
 
 // isClosed reports whether a target that drains or leaves may be sent no more work.
-func (f *fetchedGrants) isClosed(now time.Time) bool {
+func (f *fetchedGrants) isClosed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.draining && !now.Before(f.closesAt)
+	return f.draining && !clock.Now().Before(f.closesAt)
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/admission"
-	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/owner"
 	"fulmarrun/peer"
@@ -211,11 +210,11 @@
 	if to.Generation == f.ownServer.ServingState().Generation {
 		return f.ownServer.Serve(ctx, req), nil
 	}
-	sentAt := clock.Now()
+	sentAt := time.Now()
 	req.Known = f.statements.known(to.Instance, sentAt)
 	response, err := f.call(ctx, to, req)
 	if err == nil && response.Outcome == wire.OutcomeAnswered {
-		f.statements.record(to.Instance, response.Stated, sentAt, clock.Now())
+		f.statements.record(to.Instance, response.Stated, sentAt, time.Now())
 	}
 	return response, err
 }
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -16,7 +16,6 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/buffer"
-	"fulmarrun/clock"
 	"fulmarrun/tcp"
 	"fulmarrun/wire"
 )
@@ -187,7 +186,7 @@
 	u.Scheme, u.Host = "http", d.Address.String()
 	for try := 1; ; try++ {
 		a := &attempt{}
-		sentAt := clock.Now()
+		sentAt := time.Now()
 		if c.sendCheck != nil {
 			a.sendCheck = func() error { return c.sendCheck(f) }
 		}
--- a/targethttp/condition_test.go
+++ b/targethttp/condition_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"fulmarrun/clock"
 	"fulmarrun/targethttp"
 )
 
@@ -80,7 +79,7 @@
 		var statement targethttp.Statement
 		client := targethttp.NewClient(targethttp.WithDialect(dialect),
 			targethttp.WithConditionObserver(func(_ targethttp.Destination, c targethttp.Condition, sentAt time.Time) {
-				statement = statement.Update(c, sentAt, clock.Now())
+				statement = statement.Update(c, sentAt, time.Now())
 			}))
 		for _, answer := range []string{limited, tc.next} {
 			client.SetDestination(targethttp.Destination{Address: listen(t, answerWith(answer))})
