--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -31,6 +31,7 @@
 	metricMembers         = "members"
 	metricRemainingLease  = "lease.left.seconds"
 	metricStoreSilence    = "store.silent.seconds"
+	metricStoreTimeline   = "store.timeline"
 	metricTargetSilence   = "target.silent.seconds"
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -83,6 +83,8 @@
 	sampler *logs.Sampler
 	// configSince is when the current configuration came into force.
 	configSince atomic.Pointer[time.Time]
+	// timeline is the timeline of the store that was last logged; nil before its first answer.
+	timeline atomic.Pointer[uint64]
 	// unreachable lists the daemons that requests can't be sent to.
 	unreachable outages
 
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -140,6 +140,7 @@
 		case <-ctx.Done():
 			return false, nil
 		case <-ticker.C:
+			i.d.logTimeline()
 			i.processMessage(control.Tick{StoreAnswered: i.d.store.LastAnswer(), Wall: time.Now()})
 		case m := <-i.inbox:
 			i.processMessage(m)
--- a/daemon/statelog.go
+++ b/daemon/statelog.go
@@ -18,7 +18,7 @@
 	fields := []any{
 		logs.FieldGeneration, state.Generation, logs.FieldMembers, d.KnownMembers(),
 		logs.FieldConfig, d.configNumber(), logs.FieldConfigAge, age(d.configSince.Load()),
-		logs.FieldLease, d.remainingLease(), logs.FieldStoreAge, d.storeSilence(),
+		logs.FieldLease, d.remainingLease(), logs.FieldStoreAge, d.storeSilence(), logs.FieldTimeline, d.store.Timeline(),
 	}
 	if d.fetchedGrants != nil {
 		fields = append(fields, logs.FieldTargetAge, d.targetSilence())
@@ -75,6 +75,7 @@
 	gauge(metricOwnedSlots, func() int64 { return int64(d.status().Slots) })
 	seconds(metricRemainingLease, d.remainingLease)
 	seconds(metricStoreSilence, d.storeSilence)
+	gauge(metricStoreTimeline, func() int64 { return int64(d.store.Timeline()) })
 	if d.fetchedGrants != nil {
 		seconds(metricTargetSilence, d.targetSilence)
 	}
@@ -90,6 +91,17 @@
 	d.logStateChange(logs.EventStoreLost, "", logs.FieldAge, d.storeSilence(), logs.FieldErr, err)
 }
 
+// logTimeline logs when the store has been restored since the last call.
+func (d *Daemon) logTimeline() {
+	if d.store.LastAnswer().IsZero() {
+		return
+	}
+	timeline := d.store.Timeline()
+	if old := d.timeline.Swap(&timeline); old != nil && *old != timeline {
+		d.log.Warn(logs.EventStoreRestored, logs.FieldTimeline, timeline, logs.FieldFrom, *old, logs.FieldAge, d.storeSilence())
+	}
+}
+
 // logStateChange logs a change of this process's view of a subject, unless the event
 // exceeds its rate limit.
 func (d *Daemon) logStateChange(event, subject string, fields ...any) {
--- a/explain/trace.go
+++ b/explain/trace.go
@@ -17,7 +17,7 @@
 	switch event {
 	case logs.EventLeaseHeld, logs.EventLeaseLost, logs.EventGenerationEnds, logs.EventClosedByPeer, logs.EventGenerationClosed:
 		return "lease"
-	case logs.EventStoreLost, logs.EventStoreRegained, logs.EventPlatformReadFailed:
+	case logs.EventStoreLost, logs.EventStoreRegained, logs.EventStoreRestored, logs.EventPlatformReadFailed:
 		return "store"
 	case logs.EventConfigInForce:
 		return "configuration"
--- a/logs/events.go
+++ b/logs/events.go
@@ -49,6 +49,7 @@
 	EventConfigRead         = "configuration read"
 	EventConfigSkipped      = "configuration skipped"
 	EventConfigInForce      = "configuration in force"
+	EventConfigOutdated     = "configuration not newer than the one in force"
 	EventConfigNotLoaded    = "configuration not loaded"
 	EventPeerConfigTaken    = "configuration taken from a peer"
 	EventPeerConfigNotTaken = "configuration of a peer not taken"
@@ -57,6 +58,7 @@
 
 	EventStoreLost          = "store lost"
 	EventStoreRegained      = "store regained"
+	EventStoreRestored      = "store restored from a copy"
 	EventPlatformReadFailed = "platform not read"
 	EventFeedReset          = "history of the operators' table is gone; reading it again"
 	EventFeedReadFailed     = "operators' table not read"
@@ -128,6 +130,7 @@
 	FieldSubject     = "subject"     // instance that a change concerns
 	FieldTarget      = "target"      // name of the target process
 	FieldTargetAge   = "targetage"   // time since the target's last heartbeat
+	FieldTimeline    = "timeline"    // number of times that the store was restored from a copy
 	FieldTo          = "to"          // instance that an attempt was sent to, or new owner of the keys
 	FieldTook        = "took"        // duration of the request or operation
 	FieldUnknown     = "unknown"     // requests of unknown outcome since the last summary
--- a/storage/exchange.go
+++ b/storage/exchange.go
@@ -49,28 +49,35 @@
 	}}
 }
 
+// Reply is a whole response of the platform.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Do sends one request and returns the whole response. It returns ErrUnavailable if
 // the exchange is not completed. An empty contentType sets no header.
-func (e *Exchange) Do(ctx context.Context, method, path string, query url.Values, contentType string, body []byte) (status int, data []byte, err error) {
+func (e *Exchange) Do(ctx context.Context, method, path string, query url.Values, contentType string, body []byte) (Reply, error) {
 	target := url.URL{Scheme: "http", Host: e.base.String(), Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("create request: %w", err)
+		return Reply{}, fmt.Errorf("create request: %w", err)
 	}
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
 	resp, err := e.http.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return Reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err = e.pool.ReadAll(ctx, resp.Body, resp.ContentLength, MaxBodyBytes)
+	data, err := e.pool.ReadAll(ctx, resp.Body, resp.ContentLength, MaxBodyBytes)
 	switch {
 	case errors.Is(err, buffer.ErrTooLong):
-		return 0, nil, fmt.Errorf("%w: response exceeds %d bytes: %w", ErrRejected, MaxBodyBytes, err)
+		return Reply{}, fmt.Errorf("%w: response exceeds %d bytes: %w", ErrRejected, MaxBodyBytes, err)
 	case err != nil:
-		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return Reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return resp.StatusCode, data, nil
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
 }
--- a/storage/http.go
+++ b/storage/http.go
@@ -97,14 +97,14 @@
 func (c *client) call(ctx context.Context, method, path string, query url.Values, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	status, data, err := c.http.Do(ctx, method, path, query, "", body)
+	reply, err := c.http.Do(ctx, method, path, query, "", body)
 	if err != nil {
 		return nil, err
 	}
-	if err := statusError(status, data); err != nil {
+	if err := statusError(reply.Status, reply.Body); err != nil {
 		return nil, err
 	}
-	return data, nil
+	return reply.Body, nil
 }
 
 // statusError returns the error for an HTTP status, or nil for success.
--- a/storage/store.go
+++ b/storage/store.go
@@ -78,4 +78,7 @@
 	// LastAnswer returns the time of the platform's last answer to any call, or
 	// the zero time before the first.
 	LastAnswer func() time.Time
+	// Timeline returns how often the platform had been restored from a copy by the
+	// latest of its answers.
+	Timeline func() uint64
 }
--- a/storage/track.go
+++ b/storage/track.go
@@ -19,12 +19,17 @@
 }
 
 // Track returns a store that forwards all calls to s and whose LastAnswer returns
-// the time of the last answer to any of them, by the clock now.
+// the time of the last answer to any of them, by the clock now. If s has no Timeline, the
+// platform counts as never restored.
 func Track(s *Store, now func() time.Time, opts ...TrackOption) *Store {
 	t := &tracker{now: now, observe: func(error) {}}
 	for _, opt := range opts {
 		opt(t)
 	}
+	timeline := s.Timeline
+	if timeline == nil {
+		timeline = func() uint64 { return 0 }
+	}
 	return &Store{
 		Get: func(ctx context.Context, key string) (Row, error) {
 			row, err := s.Get(ctx, key)
@@ -50,6 +55,7 @@
 			return names, t.record(err)
 		},
 		LastAnswer: t.lastAnswerTime,
+		Timeline:   timeline,
 	}
 }
 
