storage, platform: versions keep rising when the store is restored from a copy

Callers saw: after a restore no change of the configuration came into force (CONFIG; requests were handled by the old services, new routes were refused with 404).

Cause: versions were taken to rise for ever. The number of a configuration was the version of its row, and a restored store gives out the same versions again, so that r16 at version 40 was held to be older than r13 at 46. The same holds for whatever compares or conditions on versions.

Ruled out: a feed that misses changes (it brings r16 at once).

Change: each answer of the store names its timeline, and a version is a timeline and a number. A transaction belongs to the timeline of its conditions; rows of each timeline have keys of their own in the store, so that a copy of an earlier write that is applied late changes nothing there, and a version that is given out twice never matches. A configuration has two numbers, of its file and of the other state, that are ordered and merged apart: an older file read from the copy never replaces a newer one, whoever brings it.

Why it works: what is compared now keeps its order through a restore, by construction.

--- a/bench/spread_test.go
+++ b/bench/spread_test.go
@@ -308,7 +308,7 @@
 	}{
 		"slots": rows(firstSlotsRow), "member": rows(memberWithoutReleases), "member-given": rows(memberWithReleases), "member-closed": rows(closedMember),
 		"move": rows(firstSlotsRow, memberWithReleases), "ack": &wire.Ack{OK: true},
-		"summary": &wire.Summary{From: generation(0), Groups: buckets, ConfigNumber: 8800},
+		"summary": &wire.Summary{From: generation(0), Groups: buckets, ConfigNumber: wire.ConfigNumber{File: 8800}},
 		"same":    &wire.Digests{From: generation(0)},
 		"group":   &wire.Digests{From: generation(0), Groups: []uint32{1}, Buckets: buckets},
 		"bucket": &wire.Versions{From: generation(0), Buckets: []uint32{99}, Have: []wire.Version{
--- a/bench/world_test.go
+++ b/bench/world_test.go
@@ -174,7 +174,7 @@
 		layouts = append(layouts, control.ServiceLayout{Name: serviceName(i), Slots: s.slots})
 	}
 	d.applyEffects(d.core.Step(d.now, control.ConfigLoaded{
-		Number: 1, Services: layouts, Serves: func(string, string, string) bool { return true },
+		Number: wire.ConfigNumber{File: 1}, Services: layouts, Serves: func(string, string, string) bool { return true },
 	}))
 	for _, step := range []int{1, 2, domainCount} {
 		d.holders = append(d.holders, generation((self-step+s.members)%s.members))
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -68,7 +68,7 @@
 			core.Step(now, control.WriteDone{Write: w, Applied: true, Rows: []storage.Row{row}})
 		}
 	}
-	core.Step(now, control.ConfigLoaded{Number: 1, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: 8192}}})
+	core.Step(now, control.ConfigLoaded{Number: wire.ConfigNumber{File: 1}, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: 8192}}})
 	return core, now
 }
 
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -120,7 +120,7 @@
 			n.send(e.Update, indexOf(to))
 		}
 	case control.Compare:
-		if e.Summary.ConfigNumber != n.current.Number {
+		if e.Summary.ConfigNumber.File != n.current.Number {
 			n.w.fail("generation %d reports configuration %d in force instead of %d", n.self.Generation, e.Summary.ConfigNumber, n.current.Number)
 		}
 		n.compare(e)
@@ -257,7 +257,7 @@
 	if current.Number > n.current.Number || n.c.shellFaults.activateOlder {
 		n.activate(current, text)
 	}
-	n.step(control.ConfigLoaded{Number: current.Number})
+	n.step(control.ConfigLoaded{Number: wire.ConfigNumber{File: current.Number}})
 }
 
 // activate puts a configuration in force and checks that numbers never decrease and
--- a/control/domain_out_test.go
+++ b/control/domain_out_test.go
@@ -177,7 +177,7 @@
 // configureAll sends a new configuration to every daemon, each after a random
 // delay.
 func (r *domainOutRun) configureAll(out []string) {
-	r.config.Number++
+	r.config.Number.File++
 	r.config.Out = out
 	for _, p := range r.procs {
 		c := r.config
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -328,7 +328,7 @@
 
 func (c *Core) loadConfig(from wire.Generation) {
 	current := c.view.Config()
-	if current.Number <= c.config.Number || current.Number <= c.loadingConfig {
+	if current.Number <= c.config.Number.File || current.Number <= c.loadingConfig {
 		return
 	}
 	c.loadingConfig = current.Number
@@ -338,7 +338,7 @@
 // configLoaded records the configuration in force; a lower number never replaces a
 // higher one.
 func (c *Core) configLoaded(m ConfigLoaded) {
-	if m.Number > c.config.Number {
+	if !c.config.Number.Covers(m.Number) {
 		c.config = m
 	}
 }
--- a/control/message.go
+++ b/control/message.go
@@ -92,7 +92,7 @@
 // ConfigLoaded reports that the configuration with this number is in force at this
 // daemon.
 type ConfigLoaded struct {
-	Number   uint64
+	Number   wire.ConfigNumber
 	Out      []string
 	Services []ServiceLayout
 	// Serves reports whether an instance may serve all keyed kinds of a service.
--- a/control/move.go
+++ b/control/move.go
@@ -21,7 +21,7 @@
 	// planConfig.
 	plannedMoves []handover.Move
 	planSnapshot *routes.Snapshot
-	planConfig   uint64
+	planConfig   wire.ConfigNumber
 	// movedSincePlan is true from the end of an own move until the next plan is
 	// made.
 	movedSincePlan bool
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -28,7 +28,7 @@
 		core, now := joinedCore(100, control.WithFaults(tc.faults))
 		var move control.Move
 		core.Step(now, control.ConfigLoaded{
-			Number: 2, Out: []string{"0"}, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: 8192}},
+			Number: wire.ConfigNumber{File: 2}, Out: []string{"0"}, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: 8192}},
 		})
 		for range 40 {
 			now = now.Add(control.TickInterval)
--- a/control/ranges_test.go
+++ b/control/ranges_test.go
@@ -15,7 +15,7 @@
 // numericKeyConfig returns a configuration of a service whose slots are ranges of keys.
 func numericKeyConfig(slots uint32, out ...string) control.ConfigLoaded {
 	return control.ConfigLoaded{
-		Number: 2, Out: out, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: slots, Ranged: true}},
+		Number: wire.ConfigNumber{File: 2}, Out: out, Services: []control.ServiceLayout{{Name: serviceOf(0), Slots: slots, Ranged: true}},
 	}
 }
 
--- a/control/simulation_test.go
+++ b/control/simulation_test.go
@@ -135,7 +135,7 @@
 		w.messageLoss = []float64{0, 0.02, 0.1, 0.25}[w.rng.IntN(4)]
 		w.storeLoss = []float64{0, 0.05, 0.2}[w.rng.IntN(3)]
 	}
-	w.config = control.ConfigLoaded{Number: 1, Services: []control.ServiceLayout{{Name: serviceName, Slots: slotCount}}}
+	w.config = control.ConfigLoaded{Number: wire.ConfigNumber{File: 1}, Services: []control.ServiceLayout{{Name: serviceName, Slots: slotCount}}}
 	w.procs = make([]*process, s.daemons)
 	for i := range w.procs {
 		w.schedule(w.between(0, time.Second), func() { w.start(i) })
@@ -175,7 +175,7 @@
 // heal ends all faults: displaced processes end, and crashed ones are restarted.
 func (w *simulation) heal() {
 	w.chaos, w.storeDown, w.config.Out = false, false, nil
-	w.config.Number++
+	w.config.Number.File++
 	clear(w.cut)
 	clear(w.storeCut)
 	for _, g := range w.displaced {
@@ -364,7 +364,7 @@
 
 func (w *simulation) setDomainOut(out bool, domain string) {
 	w.stats.DomainOuts++
-	w.config.Number++
+	w.config.Number.File++
 	w.config.Out = nil
 	if out {
 		w.config.Out = []string{domain}
--- a/daemon/configs.go
+++ b/daemon/configs.go
@@ -180,13 +180,13 @@
 	}
 	table := config.NewTable(file, e.CurrentConfig.Number)
 	return configMessage{
-		ConfigLoaded: planningData(file, table), table: table, current: e.CurrentConfig, text: text,
+		ConfigLoaded: planningData(file, table, wire.ConfigNumber{File: table.Number()}), table: table, current: e.CurrentConfig, text: text,
 	}, nil
 }
 
 // planningData returns the parts of a configuration that slot planning needs.
-func planningData(file *config.File, table *config.Table) control.ConfigLoaded {
-	loaded := control.ConfigLoaded{Number: table.Number(), Out: file.Out}
+func planningData(file *config.File, table *config.Table, number wire.ConfigNumber) control.ConfigLoaded {
+	loaded := control.ConfigLoaded{Number: number, Out: file.Out}
 	for _, s := range table.Services() {
 		if s.Keyed() {
 			loaded.Services = append(loaded.Services, control.ServiceLayout{Name: s.Name, Slots: uint32(s.Slots), Ranged: s.Ranged})
@@ -223,11 +223,11 @@
 // activateConfig puts a configuration in force, unless the number of the one in force is
 // the same or higher.
 func (i *incarnation) activateConfig(m configMessage) {
-	if old := i.d.table.Load(); old != nil && old.Number() >= m.Number {
+	if old := i.d.table.Load(); old != nil && old.Number() >= m.Number.File {
 		return
 	}
 	i.d.setTable(m.table)
 	i.d.configCache.setInForce(m.current, m.text)
 	i.applyServiceConfig()
-	i.d.log.Info(logs.EventConfigInForce, logs.FieldNumber, m.Number, logs.FieldAuthor, m.current.Author)
+	i.d.log.Info(logs.EventConfigInForce, logs.FieldNumber, m.Number.File, logs.FieldAuthor, m.current.Author)
 }
--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -30,12 +30,17 @@
 )
 
 // putConfig applies a configuration from Protocols.WatchConfig or a peer and notifies
-// other daemons. It ignores a configuration that is not newer than the one in force.
-func (d *Daemon) putConfig(file *config.File, number uint64, text []byte) {
-	if !d.setConfig(file, number, text) {
+// other daemons. It ignores a configuration of which no part is newer than the one in force.
+func (d *Daemon) putConfig(file *config.File, number wire.ConfigNumber, text []byte) {
+	number, changed, err := d.setConfig(file, number, text)
+	if err != nil {
+		d.log.Error(logs.EventConfigNotMerged, logs.FieldNumber, number.File, logs.FieldVersion, number.State, logs.FieldErr, err)
+		return
+	}
+	if !changed {
 		return
 	}
-	d.log.Info(logs.EventConfigInForce, logs.FieldNumber, number)
+	d.log.Info(logs.EventConfigInForce, logs.FieldNumber, number.File, logs.FieldVersion, number.State)
 	d.limitColdRate()
 	if i := d.current.Load(); i != nil {
 		i.post(i.ctx, *d.loadedConfig.Load())
@@ -43,21 +48,50 @@
 	}
 }
 
-// setConfig puts a configuration in force for traffic and reports whether it was newer.
-func (d *Daemon) setConfig(file *config.File, number uint64, text []byte) bool {
+// setConfig puts a configuration in force for traffic, together with the parts of the
+// present one that are newer, and reports whether anything has changed. It returns the number of the
+// configuration in force.
+func (d *Daemon) setConfig(file *config.File, number wire.ConfigNumber, text []byte) (wire.ConfigNumber, bool, error) {
 	d.configMu.Lock()
 	defer d.configMu.Unlock()
-	if old := d.loadedConfig.Load(); old != nil && old.Number >= number {
-		return false
+	if old := d.loadedConfig.Load(); old != nil {
+		if old.Number.Covers(number) {
+			return old.Number, false, nil
+		}
+		if !number.Covers(old.Number) {
+			var err error
+			if file, text, err = d.mergeConfig(old, number, text); err != nil {
+				return number, false, err
+			}
+			number = old.Number.Merge(number)
+		}
 	}
-	table := config.NewTable(file, number)
+	table := config.NewTable(file, number.File)
 	firstConfig := d.table.Load() == nil
 	d.setTable(table)
 	d.applyDomainOut(table, firstConfig)
 	d.loadedConfig.Store(&configMessage{
-		ConfigLoaded: planningData(file, table), table: table, current: wire.CurrentConfig{Number: number}, text: text,
+		ConfigLoaded: planningData(file, table, number), table: table, current: wire.CurrentConfig{Number: number.File}, text: text,
 	})
-	return true
+	return number, true, nil
+}
+
+// mergeConfig returns the configuration with the newer of each part of the one in force and
+// of another one.
+func (d *Daemon) mergeConfig(old *configMessage, number wire.ConfigNumber, text []byte) (*config.File, []byte, error) {
+	newFile, newState := old.text, text
+	if number.File > old.Number.File {
+		newFile, newState = text, old.text
+	}
+	merged, err := d.protocols.MergeConfig(newFile, newState)
+	if err != nil {
+		return nil, nil, fmt.Errorf("merge configurations %d and %d: %w", old.Number.File, number.File, err)
+	}
+	file, err := d.protocols.ParseConfig(merged)
+	if err != nil {
+		return nil, nil, fmt.Errorf("parse merged configuration: %w", err)
+	}
+	return file, merged, nil
 }
 
 // setTable makes traffic use a configuration from now on.
@@ -75,7 +109,7 @@
 }
 
 // notifyPeers notifies some other daemons of the configuration in force here.
-func (i *incarnation) notifyPeers(ctx context.Context, number uint64) {
+func (i *incarnation) notifyPeers(ctx context.Context, number wire.ConfigNumber) {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	others := i.d.server.ServingState().Snapshot.AllMembers()
@@ -96,10 +130,10 @@
 }
 
 // sendNotice sends a peer the number of the configuration in force here.
-func (i *incarnation) sendNotice(ctx context.Context, to *routes.Owner, number uint64) error {
+func (i *incarnation) sendNotice(ctx context.Context, to *routes.Owner, number wire.ConfigNumber) error {
 	_, err := peer.Call[wire.Ack](ctx, i.d.peers, to.Peer, peer.KindConfigNotice, &wire.ConfigNotice{From: i.self.Generation, Number: number})
 	if err != nil {
-		return fmt.Errorf("notify %q of configuration %d: %w", to.Instance, number, err)
+		return fmt.Errorf("notify %q of configuration %d: %w", to.Instance, number.File, err)
 	}
 	return nil
 }
@@ -121,24 +155,27 @@
 			return
 		}
 		if err := d.fetchConfigText(ctx, sender); err != nil {
-			d.log.Warn(logs.EventPeerConfigNotTaken, logs.FieldNumber, n.Number, logs.FieldFrom, sender.Instance, logs.FieldErr, err)
+			d.log.Warn(logs.EventPeerConfigNotTaken, logs.FieldNumber, n.Number.File, logs.FieldFrom, sender.Instance, logs.FieldErr, err)
 		}
 	})
 }
 
 // compareConfig compares the configuration of a peer that sent a row summary with the
-// one in force here. It fetches a newer one, or notifies the peer if its own is older.
+// one in force here. It fetches what is newer there, and notifies the peer of what is newer
+// here.
 func (d *Daemon) compareConfig(q *wire.Summary) {
 	m, i := d.loadedConfig.Load(), d.current.Load()
 	if i == nil || d.protocols.ParseConfig == nil {
 		return
 	}
-	if m == nil || q.ConfigNumber > m.Number {
+	if m == nil || !m.Number.Covers(q.ConfigNumber) {
 		d.handleNotice(wire.ConfigNotice{From: q.From, Number: q.ConfigNumber})
+	}
+	if m == nil || q.ConfigNumber.Covers(m.Number) {
 		return
 	}
 	sender := d.server.ServingState().Snapshot.Owner(q.From)
-	if q.ConfigNumber == m.Number || sender == nil {
+	if sender == nil {
 		return
 	}
 	i.spawn(func(ctx context.Context) {
@@ -149,9 +186,9 @@
 	})
 }
 
-func (d *Daemon) hasConfig(number uint64) bool {
+func (d *Daemon) hasConfig(number wire.ConfigNumber) bool {
 	m := d.loadedConfig.Load()
-	return m != nil && m.Number >= number
+	return m != nil && m.Number.Covers(number)
 }
 
 func (d *Daemon) fetchConfigText(ctx context.Context, sender *routes.Owner) error {
@@ -163,9 +200,9 @@
 	}
 	file, err := d.protocols.ParseConfig(fetched.Text)
 	if err != nil {
-		return fmt.Errorf("parse configuration %d: %w", fetched.Number, err)
+		return fmt.Errorf("parse configuration %d: %w", fetched.Number.File, err)
 	}
-	d.log.Info(logs.EventPeerConfigTaken, logs.FieldFrom, sender.Instance, logs.FieldNumber, fetched.Number)
+	d.log.Info(logs.EventPeerConfigTaken, logs.FieldFrom, sender.Instance, logs.FieldNumber, fetched.Number.File, logs.FieldVersion, fetched.Number.State)
 	d.putConfig(file, fetched.Number, fetched.Text)
 	return nil
 }
--- a/daemon/panic_test.go
+++ b/daemon/panic_test.go
@@ -17,6 +17,7 @@
 	"fulmarrun/logs"
 	"fulmarrun/platformstub"
 	"fulmarrun/storage"
+	"fulmarrun/wire"
 )
 
 // testTimeout ends the polling of a test that hangs.
@@ -127,7 +128,7 @@
 	calls := make(chan int, 2)
 	n := 0
 	s := startDaemon(t, daemon.WithProtocols(daemon.Protocols{
-		WatchConfig: func(ctx context.Context, _ *daemon.Daemon, _ func(*config.File, uint64, []byte)) error {
+		WatchConfig: func(ctx context.Context, _ *daemon.Daemon, _ func(*config.File, wire.ConfigNumber, []byte)) error {
 			n++
 			calls <- n
 			if n == 1 {
--- a/daemon/protocols.go
+++ b/daemon/protocols.go
@@ -6,6 +6,7 @@
 
 	"fulmarrun/config"
 	"fulmarrun/targethttp"
+	"fulmarrun/wire"
 )
 
 // Protocols replaces the project's own protocols for callers, the target and operators.
@@ -21,11 +22,13 @@
 	// OperatorHandler returns the handler of requests of operators and supervisors.
 	OperatorHandler func(*Daemon) http.Handler
 	// WatchConfig delivers configurations to the daemon until ctx ends. It calls put with
-	// each complete configuration, with a number that increases and is the same at all
-	// daemons, and with the text that ParseConfig reads.
-	WatchConfig func(ctx context.Context, d *Daemon, put func(file *config.File, number uint64, text []byte)) error
-	// ParseConfig parses the text of a configuration received from another daemon.
+	// each complete configuration, with a number of which no part decreases and that is the
+	// same at all daemons, and with the text that ParseConfig reads.
+	WatchConfig func(ctx context.Context, d *Daemon, put func(file *config.File, number wire.ConfigNumber, text []byte)) error
+	// ParseConfig parses the text of a configuration.
 	ParseConfig func(text []byte) (*config.File, error)
+	// MergeConfig returns the text with the file of one text and the other state of another.
+	MergeConfig func(file, state []byte) ([]byte, error)
 	// Dialect defines how requests are sent to the target. Its Fill is nil for the
 	// project's own protocol.
 	Dialect targethttp.Dialect
--- a/logs/events.go
+++ b/logs/events.go
@@ -30,6 +30,7 @@
 	EventMoveAbandoned    = "move given up"
 	EventChange           = "change" // a change that is also in the audit trail
 	EventWriteRejected    = "write rejected"
+	EventWriteObsolete    = "write given up, the store was restored"
 	EventRowSkipped       = "row skipped"
 	EventMemberKnown      = "member known" // another daemon was added to the known members
 	EventMemberGone       = "member gone"  // it was removed from them
@@ -53,6 +54,7 @@
 	EventConfigNotLoaded    = "configuration not loaded"
 	EventPeerConfigTaken    = "configuration taken from a peer"
 	EventPeerConfigNotTaken = "configuration of a peer not taken"
+	EventConfigNotMerged    = "configuration not merged"
 	EventConfigNotEncoded   = "configuration not encoded"
 	EventDomainChanged      = "failure domain changed"
 
--- a/owner/promise_leave_test.go
+++ b/owner/promise_leave_test.go
@@ -147,7 +147,7 @@
 	m.spawn(func() {
 		m.load(func(r []wire.Row) control.Message { return control.RowsLoaded{Rows: r, Wall: time.Now()} })
 	})
-	m.post(control.ConfigLoaded{Number: 1, Services: []control.ServiceLayout{{Name: "agenda", Slots: leaveSlots}}})
+	m.post(control.ConfigLoaded{Number: wire.ConfigNumber{File: 1}, Services: []control.ServiceLayout{{Name: "agenda", Slots: leaveSlots}}})
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	for !m.left {
--- a/storage/doc.go
+++ b/storage/doc.go
@@ -32,6 +32,16 @@
 // again. Such a row may be deleted only when no copy can still be in flight, or
 // when its readers can recognize a row that was created again.
 //
+// # Timelines
+//
+// A platform may be restored from a copy that is some seconds old. It then forgets what it
+// acknowledged since, and gives out the same version numbers again. Each restore begins a
+// new timeline. Versions of a Store contain their timeline, so that they keep rising, and
+// a transaction is applied only in its own timeline, so that a delayed copy of it has no
+// effect on the rows of a later one. Rows of an earlier timeline remain readable, as far as
+// the copy has them, but count as missing in conditions: what has been read there may
+// never have happened for the platform.
+//
 // # Protocol
 //
 // Requests and responses of NewHTTP are JSON, with values in base64 and versions
--- a/storage/store.go
+++ b/storage/store.go
@@ -16,18 +16,32 @@
 	ErrUnavailable = errors.New("platform gave no answer")
 	// ErrRejected is returned if the platform refused a call permanently.
 	ErrRejected = errors.New("platform rejected the call")
+	// ErrRestored is returned for a transaction of an earlier timeline than that of the
+	// platform. Whether it was applied before the platform was restored no longer matters.
+	ErrRestored = errors.New("platform was restored from a copy")
 )
 
 // Row is a row of the table. Version increases with each change of the row and
-// never decreases, not even across a deletion.
+// never decreases, not even across a deletion or if the platform is restored from a copy.
 type Row struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value,omitempty"`
+	// Cursor is the value of after with which List continues behind this row; empty if it
+	// is Key.
+	Cursor string `json:"-"`
+}
+
+// Next returns the value of after with which List continues behind the row.
+func (r Row) Next() string {
+	if r.Cursor != "" {
+		return r.Cursor
+	}
+	return r.Key
 }
 
 // Condition holds if the row at Key has the given Version; zero means that the
-// row does not exist.
+// row does not exist, or has not been written in the timeline of the transaction.
 type Condition struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
@@ -44,7 +58,10 @@
 type Transaction struct {
 	// ID is the request ID. Callers also store it in each row that they write, to
 	// recognize the effect of a write whose response was lost.
-	ID         string      `json:"id"`
+	ID string `json:"id"`
+	// Timeline is the timeline that the conditions were read in. In a later one, the
+	// platform does not apply the transaction and ErrRestored is returned.
+	Timeline   uint64      `json:"timeline,omitempty"`
 	Conditions []Condition `json:"conditions"`
 	Writes     []Write     `json:"writes"`
 }
@@ -63,7 +80,8 @@
 	// Get reads one row.
 	Get func(ctx context.Context, key string) (Row, error)
 	// List reads up to limit rows whose keys start with prefix and are greater
-	// than after, in key order.
+	// than after, in key order; see Row.Next. A row that was written in several timelines
+	// may be listed once for each.
 	List func(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Transact applies a conditional transaction.
 	Transact func(ctx context.Context, tx Transaction) (Result, error)
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -27,7 +27,7 @@
 		&wire.Slots{Service: "s", TotalSlots: 8, Revision: 1, Slots: []wire.Slot{{Owner: 1, Epoch: 2}}, HotKeys: []wire.HotKey{{Key: "k", Slot: wire.Slot{Owner: 1}}}},
 		&wire.CurrentConfig{Number: 1, Digest: "d", At: at, SectionDigests: []string{"a"}, RecentChanges: []wire.AcceptedChange{{Number: 1, Change: "c"}}},
 		&wire.Rows{From: 1, Rows: []wire.Row{{Key: "k", Version: 1, Value: []byte("v"), Deleted: true}}, ResendRequest: []wire.Version{{Key: "k", Version: 1}}},
-		&wire.Summary{From: 1, Groups: []uint64{1}, ConfigNumber: 2},
+		&wire.Summary{From: 1, Groups: []uint64{1}, ConfigNumber: wire.ConfigNumber{File: 2, State: 3}},
 		&wire.Versions{From: 1, Buckets: []uint32{1}, Have: []wire.Version{{Key: "k", Version: 1}}},
 		&wire.FetchObject{Digest: "d"}, &wire.Object{Data: []byte("d")},
 		&wire.Vote{From: 1, Holder: 2}, &wire.Verdict{Holder: 2, Expired: true, Wait: 3},
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -12,7 +12,7 @@
 //msgp:shim UnixTime as:uint32 using:uint32/UnixTime
 //msgp:shim State as:uint8 using:uint8/State
 //msgp:shim netip.AddrPort as:string using:addrPortString/addrPortParse mode:convert
-//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey ReleasedSlots RecordHandover Record Version Vote Verdict Edit Delta ResendRequest Policy TargetCondition
+//msgp:tuple Heartbeat Request Response Header Cancel Slot HotKey ReleasedSlots RecordHandover Record Version Vote Verdict Edit Delta ResendRequest Policy TargetCondition ConfigNumber
 
 // Generation identifies one incarnation of a daemon. It is random and never
 // zero; a daemon gets a new one at each restart.
@@ -187,6 +187,10 @@
 	// ReleasedSlots lists the rows of which this generation has handed over slots. An
 	// heir must have at least these revisions of the rows.
 	ReleasedSlots []ReleasedSlots `msg:"v"`
+	// Claims is a bitmap of the slots that this generation owned when it entered the timeline
+	// of the row, in which no row of slots had been written yet. Empty if it joined in that
+	// timeline.
+	Claims []byte `msg:"m,omitempty"`
 	// Joined is when this generation wrote its row for the first time.
 	Joined time.Time `msg:"j"`
 	// Change is the request ID of the write that produced this version.
@@ -252,6 +256,16 @@
 	Change string `msg:"x"`
 }
 
+// ConfigNumber orders the states of the operators' configuration. Each part says which of
+// two states has the newer content of its kind, whatever the other part says.
+type ConfigNumber struct {
+	// File is the number of the configuration file.
+	File uint64
+	// State is the version of the other state, such as the failure domains that are out of
+	// service; zero if all of it is in the file.
+	State uint64
+}
+
 // Row is one version of a row of the platform's table.
 type Row struct {
 	Key     string `msg:"k"`
@@ -308,7 +322,7 @@
 	From   Generation `msg:"f"`
 	Groups []uint64   `msg:"b"`
 	// ConfigNumber is the number of the configuration in force at the sender.
-	ConfigNumber uint64 `msg:"c"`
+	ConfigNumber ConfigNumber `msg:"c"`
 }
 
 // Digests answers Summary with the digests of all buckets in the groups that
@@ -341,14 +355,14 @@
 // ConfigNotice announces the number of the configuration in force at the sender, or
 // requests the receiver's configuration as ConfigText.
 type ConfigNotice struct {
-	From   Generation `msg:"f"`
-	Number uint64     `msg:"n"`
+	From   Generation   `msg:"f"`
+	Number ConfigNumber `msg:"n"`
 }
 
 // ConfigText is the complete text of a configuration.
 type ConfigText struct {
-	Number uint64 `msg:"n"`
-	Text   []byte `msg:"t"`
+	Number ConfigNumber `msg:"n"`
+	Text   []byte       `msg:"t"`
 }
 
 // Vote asks a witness to confirm that a lease has expired.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -165,7 +165,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z ConfigNotice) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigNotice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
 	// string "f"
@@ -173,7 +173,10 @@
 	o = msgp.AppendUint64(o, uint64(z.From))
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Number)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Number.File)
+	o = msgp.AppendUint64(o, z.Number.State)
 	return
 }
 
@@ -206,11 +209,26 @@
 				z.From = Generation(zb0002)
 			}
 		case "n":
-			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Number")
 				return
 			}
+			if zb0003 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+				return
+			}
+			z.Number.File, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number", "File")
+				return
+			}
+			z.Number.State, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number", "State")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -224,8 +242,50 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ConfigNotice) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *ConfigNotice) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + 1 + msgp.Uint64Size + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ConfigNumber) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.File)
+	o = msgp.AppendUint64(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConfigNumber) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.File, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "File")
+		return
+	}
+	z.State, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ConfigNumber) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -235,7 +295,10 @@
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Number)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Number.File)
+	o = msgp.AppendUint64(o, z.Number.State)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendBytes(o, z.Text)
@@ -261,11 +324,26 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "n":
-			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Number")
 				return
 			}
+			if zb0002 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+				return
+			}
+			z.Number.File, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number", "File")
+				return
+			}
+			z.Number.State, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number", "State")
+				return
+			}
 		case "t":
 			z.Text, bts, err = msgp.ReadBytesBytes(bts, z.Text)
 			if err != nil {
@@ -286,7 +364,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigText) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Text)
+	s = 1 + 2 + 1 + msgp.Uint64Size + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Text)
 	return
 }
 
@@ -960,79 +1038,97 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
-	// string "i"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Instance)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendUint64(o, uint64(z.Generation))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Service)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Region)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendString(o, z.Domain)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	var zb0002 string
-	zb0002, err = addrPortString(z.Peer)
-	if err != nil {
-		err = msgp.WrapError(err, "Peer")
-		return
-	}
-	o = msgp.AppendString(o, zb0002)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	var zb0003 string
-	zb0003, err = addrPortString(z.Caller)
-	if err != nil {
-		err = msgp.WrapError(err, "Caller")
-		return
-	}
-	o = msgp.AppendString(o, zb0003)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Witnesses)))
-	for za0001 := range z.Witnesses {
-		o = msgp.AppendUint64(o, uint64(z.Witnesses[za0001]))
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint8(o, uint8(z.State))
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Heirs)))
-	for za0002 := range z.Heirs {
-		o = msgp.AppendUint64(o, uint64(z.Heirs[za0002]))
+	// check for omitted fields
+	zb0001Len := uint32(17)
+	var zb0001Mask uint32 /* 17 bits */
+	_ = zb0001Mask
+	if z.Claims == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
 	}
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Idle)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.DepartedTarget)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ReleasedSlots)))
-	for za0003 := range z.ReleasedSlots {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint32(o, z.ReleasedSlots[za0003].FirstSlot)
-		o = msgp.AppendUint64(o, z.ReleasedSlots[za0003].Revision)
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Instance)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendUint64(o, uint64(z.Generation))
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Service)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendString(o, z.Region)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Domain)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		var zb0002 string
+		zb0002, err = addrPortString(z.Peer)
+		if err != nil {
+			err = msgp.WrapError(err, "Peer")
+			return
+		}
+		o = msgp.AppendString(o, zb0002)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		var zb0003 string
+		zb0003, err = addrPortString(z.Caller)
+		if err != nil {
+			err = msgp.WrapError(err, "Caller")
+			return
+		}
+		o = msgp.AppendString(o, zb0003)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Witnesses)))
+		for za0001 := range z.Witnesses {
+			o = msgp.AppendUint64(o, uint64(z.Witnesses[za0001]))
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint8(o, uint8(z.State))
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Heirs)))
+		for za0002 := range z.Heirs {
+			o = msgp.AppendUint64(o, uint64(z.Heirs[za0002]))
+		}
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendBool(o, z.Idle)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendString(o, z.DepartedTarget)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.ReleasedSlots)))
+		for za0003 := range z.ReleasedSlots {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint32(o, z.ReleasedSlots[za0003].FirstSlot)
+			o = msgp.AppendUint64(o, z.ReleasedSlots[za0003].Revision)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendBytes(o, z.Claims)
+		}
+		// string "j"
+		o = append(o, 0xa1, 0x6a)
+		o = msgp.AppendTime(o, z.Joined)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendString(o, z.Change)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendString(o, z.Reason)
 	}
-	// string "j"
-	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendTime(o, z.Joined)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendString(o, z.Change)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendString(o, z.Reason)
 	return
 }
 
@@ -1220,6 +1316,12 @@
 					return
 				}
 			}
+		case "m":
+			z.Claims, bts, err = msgp.ReadBytesBytes(bts, z.Claims)
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
 		case "j":
 			z.Joined, bts, err = msgp.ReadTimeBytes(bts)
 			if err != nil {
@@ -1258,7 +1360,7 @@
 	s += msgp.StringPrefixSize + len(zb0001) + 2
 	var zb0002 string
 	_ = z.Caller
-	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.DepartedTarget) + 2 + msgp.ArrayHeaderSize + (len(z.ReleasedSlots) * (20 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.DepartedTarget) + 2 + msgp.ArrayHeaderSize + (len(z.ReleasedSlots) * (20 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.BytesPrefixSize + len(z.Claims) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
@@ -2852,7 +2954,10 @@
 	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.ConfigNumber)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ConfigNumber.File)
+	o = msgp.AppendUint64(o, z.ConfigNumber.State)
 	return
 }
 
@@ -2904,11 +3009,26 @@
 				}
 			}
 		case "c":
-			z.ConfigNumber, bts, err = msgp.ReadUint64Bytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "ConfigNumber")
 				return
 			}
+			if zb0004 != 2 {
+				err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+				return
+			}
+			z.ConfigNumber.File, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigNumber", "File")
+				return
+			}
+			z.ConfigNumber.State, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigNumber", "State")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2923,7 +3043,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Summary) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Groups) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Groups) * (msgp.Uint64Size)) + 2 + 1 + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
