control, routes, daemon: who owns keys after the store is restored from a copy

Callers saw: with killed daemons beside a restore, keys were run by two targets, one under an older fence (OWNER), and others were not served any more.

Cause: what the store had acknowledged was taken to last. A daemon that started after the restore inherited keys by rows in which their move had not happened yet, while their next owner's target held them; a daemon whose row was lost ended, and its keys with it.

Ruled out: versions alone; with rising versions the restarted daemon still reads the older rows.

Change: a generation that holds its lease enters a new timeline by writing its row there, with a bitmap of the slots that it owns. Without a lease it ends. Until all rows of slots are written anew, from these claims, the old ones stay in force for those that claimed, and for nobody else; they are written once every other generation that may own by them has entered too or is closed, and slots without a claim only after what their lost owners may have granted has run out and all rows have been read again. Epochs of a timeline start above all of the ones before. A generation that has not entered is closed by the votes of its known witnesses and of all members that say that they renew it, as a change of its witnesses may be lost. Rows of an earlier timeline that are read from the copy give way to what any member remembers.

Why it works: a lease was exclusive before the restore, no write can change an owner of the old timeline after it, so that claims are disjoint; all else waits until the old leases are over.

--- a/audit/entry.go
+++ b/audit/entry.go
@@ -25,6 +25,8 @@
 	Assign = "assign"
 	// Forget means that the row of a closed generation was deleted.
 	Forget = "forget"
+	// Restore means that a generation went on after the platform was restored from a copy.
+	Restore = "restore"
 	// Join means that a new generation was added.
 	Join = "join"
 	// Leave means that a generation ended as planned.
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -64,7 +64,7 @@
 	rows := fleet(members)
 	for _, e := range core.Step(now, control.RowsLoaded{Rows: rows[1:]}) {
 		if w, ok := e.(control.Write); ok {
-			row := storage.Row{Key: w.Transaction.Writes[0].Key, Version: 1 << 40, Value: w.Transaction.Writes[0].Value}
+			row := storage.Row{Key: w.Transaction.Writes[0].Key, Version: 1 << 37, Value: w.Transaction.Writes[0].Value}
 			core.Step(now, control.WriteDone{Write: w, Applied: true, Rows: []storage.Row{row}})
 		}
 	}
@@ -134,7 +134,7 @@
 		b.Run(tc.name, func(b *testing.B) {
 			core, now := joinedCore(3500)
 			m := memberOf(tc.index, 3500)
-			version := uint64(1 << 41)
+			version := uint64(1 << 38)
 			b.ReportAllocs()
 			for b.Loop() {
 				tc.alter(&m)
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -65,7 +65,7 @@
 	c := &configSimulation{shellFaults: shellFaults, objects: make(map[string][]byte), files: make(map[string]configFile)}
 	c.simulation = &simulation{
 		setup: setup{seed: seed, daemons: propertyDaemons, domains: 3}, rng: rand.New(rand.NewPCG(uint64(seed), 4)),
-		rows: make(map[string]storage.Row), cut: make(map[[2]int]bool), storeCut: make(map[int]bool),
+		rows: make(map[storedKey]storage.Row), cut: make(map[[2]int]bool), storeCut: make(map[int]bool),
 		procs: make([]*process, propertyDaemons), messageLoss: 0.1, storeLoss: 0.1,
 	}
 	c.nodes = make([]*configNode, propertyDaemons)
@@ -345,7 +345,7 @@
 	}
 	return &storage.Store{
 		Get: func(_ context.Context, key string) (row storage.Row, err error) {
-			err = call(func() { row = c.rows[key] })
+			err = call(func() { row = c.rows[storedKey{key: key}] })
 			if err == nil && row.Version == 0 {
 				err = storage.ErrMissing
 			}
@@ -368,7 +368,7 @@
 	if !res.Applied {
 		return res
 	}
-	row := c.rows[routes.ConfigKey]
+	row := c.rows[storedKey{key: routes.ConfigKey}]
 	var current wire.CurrentConfig
 	if err := wire.Decode(row.Value, &current); err != nil {
 		c.fail("decode the configuration row: %v", err)
--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 	"fulmarrun/handover"
 	"fulmarrun/lease"
 	"fulmarrun/routes"
+	"fulmarrun/storage"
 	"fulmarrun/wire"
 )
 
@@ -133,6 +134,7 @@
 	gossipState
 	planState
 	moveState
+	timelineState
 
 	effects []Effect
 }
@@ -204,7 +206,7 @@
 	case WriteDone:
 		c.writeDone(now, m)
 	case VoteRequested:
-		m.Reply(c.witness.Vote(now, m.Vote))
+		m.Reply(c.vote(now, m.Vote))
 	case VerdictArrived:
 		c.verdictArrived(now, m)
 	case SummaryArrived:
@@ -252,6 +254,10 @@
 
 func (c *Core) tick(now time.Time, m Tick) {
 	c.storeAnswered, c.wall = m.StoreAnswered, m.Wall
+	c.enterTimeline(now, m.Timeline)
+	if c.closed {
+		return
+	}
 	c.witness.Tick(now)
 	if !c.joined {
 		return
@@ -259,9 +265,11 @@
 	c.trackLease(now)
 	c.sendHeartbeats(now)
 	c.runTakeovers(now)
-	c.startMove(now)
-	c.runHot(now)
-	c.runOffload(now)
+	if c.refounded() {
+		c.startMove(now)
+		c.runHot(now)
+		c.runOffload(now)
+	}
 	c.sendHandOvers(now)
 	if now.Before(c.nextMaintenance) {
 		return
@@ -315,7 +323,7 @@
 		return
 	}
 	if m.State == wire.StateClosed {
-		c.closedSince[m.Generation] = now
+		c.closedSince[m.Generation], c.unsettledAt = now, now
 		delete(c.orphans, m.Generation)
 		c.witness.Unwatch(m.Generation)
 		delete(c.takeovers, m.Generation)
@@ -339,7 +347,7 @@
 }
 
 func (c *Core) applySelf(m wire.Member, version uint64) {
-	if version <= c.version {
+	if version <= c.version || storage.TimelineOf(version) < c.timeline {
 		return
 	}
 	c.self, c.version = m, version
@@ -370,8 +378,12 @@
 	return m.State != wire.StateClosed && m.Generation != c.self.Generation
 }
 
-// eligible reports whether a member may own slots.
+// eligible reports whether a member may own slots. One whose row has not been written in the
+// present timeline may have ended without a trace there.
 func (c *Core) eligible(o *routes.Owner) bool {
+	if m := c.view.Member(o.Generation); m != nil && storage.TimelineOf(m.Version) < c.timeline {
+		return false
+	}
 	if !o.AcceptsWork(func(domain string) bool { return slices.Contains(c.config.Out, domain) }) {
 		return false
 	}
--- a/control/effect.go
+++ b/control/effect.go
@@ -107,7 +107,10 @@
 type Probe struct{}
 
 // Reload reads all rows from the platform again and delivers them as RowsArrived.
-type Reload struct{}
+type Reload struct {
+	// At is when the rows were requested.
+	At time.Time
+}
 
 // Drain stops admission and waits for the running requests; the shell then sends
 // Drained.
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/routes"
+	"fulmarrun/storage"
 	"fulmarrun/wire"
 )
 
@@ -57,7 +58,9 @@
 func (c *Core) rowsArrived(now time.Time, m RowsArrived) {
 	var urgent []wire.Version
 	var wanted wire.ResendRequest
+	c.enterTimeline(now, m.Timeline)
 	for _, d := range m.Deltas {
+		c.enterTimeline(now, storage.TimelineOf(d.Version))
 		update, isNew, err := c.view.Patch(d)
 		if isNew {
 			urgent = c.recordUpdate(now, m.From, d.Key, update, urgent)
@@ -70,6 +73,9 @@
 		}
 	}
 	c.gossip(now, m.From, c.mergeRows(now, m.From, m.Rows, urgent))
+	if m.Timeline == c.timeline && m.ReloadAt.After(c.reread) {
+		c.reread = m.ReloadAt
+	}
 	if m.Reply != nil {
 		m.Reply(wanted)
 	}
@@ -86,6 +92,12 @@
 		if row.Version == 0 {
 			continue
 		}
+		// What is claimed has to be found out before rows of the later timeline are applied.
+		timeline := storage.TimelineOf(row.Version)
+		c.enterTimeline(now, timeline)
+		if from == 0 && timeline < c.timeline && !c.faults.TrustCopy {
+			row.Version = routes.UncertainVersion(row)
+		}
 		update, isNew, err := c.view.Apply(row)
 		switch {
 		case err != nil:
@@ -270,7 +282,7 @@
 // since all daemons that knew them may have failed. Each daemon waits for a random
 // delay first, so that one reads and the others receive the rows from it.
 func (c *Core) reloadMissing(now time.Time) {
-	if !c.view.Snapshot().HasUnresolved(c.self.Service) {
+	if !c.view.Snapshot().HasUnresolved(c.self.Service) || !c.refounded() {
 		c.nextReload = time.Time{}
 		return
 	}
@@ -281,7 +293,7 @@
 		return
 	}
 	c.nextReload = now.Add(reloadInterval)
-	c.emit(Reload{})
+	c.emit(Reload{At: now})
 }
 
 // readConfig reads the configuration row periodically if this generation is the
--- a/control/gossip_test.go
+++ b/control/gossip_test.go
@@ -19,7 +19,7 @@
 }
 
 func newPeerView(members int) *peerView {
-	p := &peerView{view: routes.NewView(), version: 1 << 41}
+	p := &peerView{view: routes.NewView(), version: 1 << 38}
 	for _, row := range fleet(members) {
 		_, _ = p.view.Put(row)
 	}
--- a/control/message.go
+++ b/control/message.go
@@ -17,6 +17,8 @@
 	StoreAnswered time.Time
 	// Wall is the wall clock.
 	Wall time.Time
+	// Timeline is the platform's timeline by the latest of its answers.
+	Timeline uint64
 }
 
 // Heartbeat is a heartbeat datagram that was received.
@@ -25,9 +27,13 @@
 // RowsArrived delivers rows from a peer or from the platform.
 type RowsArrived struct {
 	// From is the generation that sent the rows; zero for the platform.
-	From   wire.Generation
-	Rows   []wire.Row
-	Deltas []wire.Delta
+	From wire.Generation
+	// ReloadAt is that of the Reload that the rows answer, and Timeline is the platform's
+	// timeline in which they were read; both are zero for other rows.
+	ReloadAt time.Time
+	Timeline uint64
+	Rows     []wire.Row
+	Deltas   []wire.Delta
 	// Reply receives the versions of the rows whose deltas could not be applied, so
 	// that the sender sends them again; nil if the sender expects no answer.
 	Reply func(wire.ResendRequest)
@@ -37,6 +43,8 @@
 // generation joins.
 type RowsLoaded struct {
 	Rows []wire.Row
+	// Timeline is the platform's timeline in which all rows were read.
+	Timeline uint64
 	// Wall is the wall clock.
 	Wall time.Time
 }
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -31,6 +31,7 @@
 	s.Leaves += o.Leaves
 	s.DomainOuts += o.DomainOuts
 	s.Displaced += o.Displaced
+	s.Restores += o.Restores
 	s.Requests += o.Requests
 	s.Writes += o.Writes
 	s.Reads += o.Reads
--- a/control/move.go
+++ b/control/move.go
@@ -15,6 +15,8 @@
 type moveState struct {
 	// moving is true from the start of a hand-over to its end.
 	moving bool
+	// writtenMove is the hand-over whose write is in progress, or nil.
+	writtenMove *Move
 	// backoffs are the rows of slots for which a move was abandoned, by first slot.
 	backoffs map[uint32]rowBackoff
 	// plannedMoves are the moves planned for planSnapshot under the configuration
@@ -220,7 +222,7 @@
 // before.
 func (c *Core) moveReady(now time.Time, m MoveReady) {
 	rows := c.slotRows(m.Move.Moves)
-	if c.writing || c.closing || len(rows) == 0 || !c.holder.Valid(now) || !c.newOwnersActive(m.Move) {
+	if c.writing || c.closing || len(rows) == 0 || !c.refounded() || !c.holder.Valid(now) || !c.newOwnersActive(m.Move) {
 		c.abandonMove(m.Move)
 		return
 	}
@@ -339,8 +341,8 @@
 		tx.Conditions = append(tx.Conditions, storage.Condition{Key: key, Version: c.version})
 		tx.Writes = append(tx.Writes, storage.Write{Key: key, Value: value})
 	}
-	c.writing = true
-	c.emit(Write{
+	c.writing, c.writtenMove = true, &move
+	c.emitWrite(Write{
 		Purpose: PurposeMove, Move: move, Transaction: tx,
 		Entry: audit.Entry{
 			Who: c.self.Instance, What: audit.Move, Subject: tx.Writes[0].Key,
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -47,7 +47,7 @@
 				slots.Slots[0].Epoch, slots.Slots[0].TransferID = 2, 7
 				slots.Revision++
 				row.Value, _ = wire.Encode(&slots)
-				row.Version = 1 << 41
+				row.Version = 1 << 38
 				core.Step(now, control.RowsArrived{From: 2, Rows: []wire.Row{row}})
 			}
 		}
@@ -55,7 +55,7 @@
 		newOwner.State = tc.newOwner
 		value, _ := wire.Encode(&newOwner)
 		core.Step(now, control.RowsArrived{From: 2, Rows: []wire.Row{
-			{Key: routes.MemberKey(newOwner.Generation), Version: 1 << 42, Value: value},
+			{Key: routes.MemberKey(newOwner.Generation), Version: 1 << 39, Value: value},
 		}})
 		writes := slices.ContainsFunc(core.Step(now, control.MoveReady{Move: move}), func(e control.Effect) bool {
 			w, ok := e.(control.Write)
--- a/control/plan.go
+++ b/control/plan.go
@@ -10,6 +10,10 @@
 	"fulmarrun/wire"
 )
 
+// epochBits is the number of bits of an epoch below its timeline, so that epochs of a later
+// timeline are higher than those that the platform may have forgotten.
+const epochBits = 24
+
 // rowsPerPlan bounds the rows of slots that one transaction assigns.
 const rowsPerPlan = 16
 
@@ -41,12 +45,14 @@
 // heirs to which their slots already resolve.
 func (c *Core) assignSlots(now time.Time) {
 	layout, ok := c.layout()
-	if !ok || c.planning || c.writing || !c.holder.Valid(now) || !c.isPlanner(c.self.Service) {
+	if !ok || c.planning || c.writing || !c.registered() || !c.holder.Valid(now) || c.refounded() && !c.isPlanner(c.self.Service) {
 		return
 	}
 	rows := c.rowsToAssign(now, layout)
 	if len(rows) == 0 {
-		c.deleteClosed(now)
+		if c.refounded() {
+			c.deleteClosed(now)
+		}
 		return
 	}
 	if !c.storeReady(now) {
@@ -69,7 +75,7 @@
 		tx.Writes = append(tx.Writes, storage.Write{Key: key, Value: value})
 	}
 	c.planning = true
-	c.emit(Write{
+	c.emitWrite(Write{
 		Purpose: PurposePlan, Transaction: tx,
 		Entry: audit.Entry{
 			Who: c.self.Instance, What: audit.Assign, Subject: c.self.Service,
@@ -85,6 +91,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	if !c.refounded() {
+		return c.refound(now, layout, candidates)
+	}
 	first := c.view.SlotsRow(layout.Name, 0)
 	if first == nil && now.Sub(c.unchangedSince) < c.assignDelay {
 		return nil
@@ -109,7 +118,7 @@
 func (c *Core) newRow(layout ServiceLayout, count, first uint32) routes.SlotsRow {
 	return routes.SlotsRow{Slots: wire.Slots{
 		Service: layout.Name, TotalSlots: count, NumericKeys: layout.Ranged, FirstSlot: first,
-		Slots: make([]wire.Slot, min(routes.SlotsPerRow, count-first)),
+		Slots: slices.Repeat([]wire.Slot{{Epoch: c.timeline << epochBits}}, int(min(routes.SlotsPerRow, count-first))),
 	}}
 }
 
@@ -190,7 +199,7 @@
 // witness: its closed row may have to count as a vote.
 func (c *Core) deleteClosed(now time.Time) {
 	for _, m := range c.view.Members() {
-		if m.Service != c.self.Service || m.State != wire.StateClosed ||
+		if m.Service != c.self.Service || m.State != wire.StateClosed || storage.TimelineOf(m.Version) < c.timeline ||
 			now.Sub(c.closedSince[m.Generation]) < c.retention || c.referenced(m.Generation) || c.isWitness(m.Generation) {
 			continue
 		}
@@ -200,7 +209,7 @@
 		key := routes.MemberKey(m.Generation)
 		change := c.newID()
 		c.planning = true
-		c.emit(Write{
+		c.emitWrite(Write{
 			Purpose: PurposePlan,
 			Transaction: storage.Transaction{
 				ID:         change,
--- a/control/process_test.go
+++ b/control/process_test.go
@@ -30,6 +30,7 @@
 	resume      func() // continues the step that a pause interrupted
 
 	storeAnswered time.Time // when the table last answered
+	timeline      uint64    // timeline of the table by the latest of its answers
 
 	// The state that requests are admitted by.
 	snapshot    *routes.Snapshot
@@ -77,7 +78,9 @@
 	}
 	p.core = control.NewCore(p.self, options...)
 	p.publish()
-	p.load(func(rows []wire.Row) control.Message { return control.RowsLoaded{Rows: rows, Wall: p.wall()} })
+	p.load(func(rows []wire.Row, timeline uint64) control.Message {
+		return control.RowsLoaded{Rows: rows, Timeline: timeline, Wall: p.wall()}
+	})
 	w.schedule(w.between(0, 300*time.Millisecond), p.configure)
 	w.schedule(w.between(0, control.TickInterval), p.tick)
 	return p
@@ -149,7 +152,7 @@
 // does.
 func (p *process) tick() {
 	p.run(func() {
-		p.step(control.Tick{StoreAnswered: p.storeAnswered, Wall: p.wall()})
+		p.step(control.Tick{StoreAnswered: p.storeAnswered, Wall: p.wall(), Timeline: p.timeline})
 		p.runTraffic()
 		p.w.schedule(p.w.between(control.TickInterval*9/10, control.TickInterval*11/10), p.tick)
 	})
@@ -294,10 +297,14 @@
 	case control.Probe:
 		p.w.call(p, func() func() {
 			p.w.stats.Reads++
-			return func() { p.step(control.Tick{StoreAnswered: p.storeAnswered, Wall: p.wall()}) }
+			return func() {
+				p.step(control.Tick{StoreAnswered: p.storeAnswered, Wall: p.wall(), Timeline: p.timeline})
+			}
 		})
 	case control.Reload:
-		p.load(func(rows []wire.Row) control.Message { return control.RowsArrived{Rows: rows} })
+		p.load(func(rows []wire.Row, timeline uint64) control.Message {
+			return control.RowsArrived{Rows: rows, ReloadAt: e.At, Timeline: timeline}
+		})
 	case control.Drain:
 		p.w.schedule(p.w.between(0, 100*time.Millisecond), func() { p.post(control.Drained{}) })
 	case control.DrainKeyed:
@@ -354,8 +361,8 @@
 // checkRows checks that all rows known here have been in the table.
 func (p *process) checkRows() {
 	var all wire.ResendRequest
-	for key := range p.w.rows {
-		all.Have = append(all.Have, wire.Version{Key: key})
+	for stored := range p.w.rows {
+		all.Have = append(all.Have, wire.Version{Key: stored.key})
 	}
 	p.core.Step(p.now(), control.RowsRequested{ResendRequest: all, Reply: p.w.checkUpdate})
 }
@@ -387,17 +394,17 @@
 }
 
 // load reads all rows, members first, and retries until the table answers.
-func (p *process) load(message func([]wire.Row) control.Message) {
+func (p *process) load(message func(rows []wire.Row, timeline uint64) control.Message) {
 	done := false
 	p.w.call(p, func() func() {
-		members := p.w.list(routes.MemberPrefix)
+		members, timeline := p.w.list(routes.MemberPrefix), p.w.timeline
 		return func() {
 			p.w.call(p, func() func() {
-				slots := p.w.list(routes.SlotsPrefix)
+				slots, later := p.w.list(routes.SlotsPrefix), p.w.timeline != timeline
 				return func() {
-					if !done {
+					if !done && !later {
 						done = true
-						p.step(message(append(members, slots...)))
+						p.step(message(append(members, slots...), timeline))
 					}
 				}
 			})
@@ -417,7 +424,12 @@
 	p.w.call(p, func() func() {
 		res := p.w.transact(e.Transaction)
 		p.w.applied(e, res)
+		restored := p.w.timeline != e.Transaction.Timeline
 		return func() {
+			if restored {
+				done = true
+				return
+			}
 			applied, known := transactionOutcome(e.Transaction, res)
 			if done || !known {
 				return
--- a/control/ranges_test.go
+++ b/control/ranges_test.go
@@ -27,7 +27,7 @@
 	var effects []control.Effect
 	for _, e := range core.Step(now, control.RowsLoaded{Rows: rows}) {
 		if w, ok := e.(control.Write); ok {
-			row := storage.Row{Key: w.Transaction.Writes[0].Key, Version: 1 << 40, Value: w.Transaction.Writes[0].Value}
+			row := storage.Row{Key: w.Transaction.Writes[0].Key, Version: 1 << 37, Value: w.Transaction.Writes[0].Value}
 			effects = slices.Clone(core.Step(now, control.WriteDone{Write: w, Applied: true, Rows: []storage.Row{row}}))
 		}
 	}
@@ -109,7 +109,7 @@
 		t.Fatalf("row %+v, %v", row, err)
 	}
 	core.Step(now, control.WriteDone{Write: w, Applied: true, Rows: []storage.Row{
-		{Key: w.Transaction.Writes[0].Key, Version: 1 << 41, Value: w.Transaction.Writes[0].Value},
+		{Key: w.Transaction.Writes[0].Key, Version: 1 << 38, Value: w.Transaction.Writes[0].Value},
 	}})
 	owned := 0
 	for h := range core.Snapshot().Assignments(serviceOf(0)) {
--- a/control/script_test.go
+++ b/control/script_test.go
@@ -21,7 +21,9 @@
 			w.displaced = append(w.displaced, old)
 			w.start(0)
 			w.schedule(200*time.Millisecond, func() {
-				old.load(func(rows []wire.Row) control.Message { return control.RowsArrived{Rows: rows} })
+				old.load(func(rows []wire.Row, timeline uint64) control.Message {
+					return control.RowsArrived{Rows: rows, Timeline: timeline}
+				})
 			})
 		}, 6 * time.Second, func(w *simulation) string {
 			if w.procs[0].dead {
--- a/control/self.go
+++ b/control/self.go
@@ -28,7 +28,12 @@
 
 // join writes the member row of this generation for the first time.
 func (c *Core) join(now time.Time, m RowsLoaded) {
-	c.wall, c.loadedAt = m.Wall, now
+	c.wall, c.loadedAt, c.unsettledAt, c.enteredAt = m.Wall, now, now, now
+	if m.Timeline < c.timeline {
+		c.endGeneration("the platform was restored before it joined")
+		return
+	}
+	c.timeline = m.Timeline
 	c.applyRows(now, 0, m.Rows)
 	next := c.self
 	next.Witnesses = lease.Choose(c.self, c.witnessCandidates(), nil)
@@ -40,6 +45,9 @@
 // writeSelf starts a conditional write of the member row of this generation.
 func (c *Core) writeSelf(next wire.Member, what, reason string) {
 	next.Change, next.Reason = c.newID(), reason
+	if c.registered() && c.refounded() {
+		next.Claims, next.Renews = nil, nil
+	}
 	value, err := wire.Encode(&next)
 	if err != nil {
 		return
@@ -47,7 +55,7 @@
 	key := routes.MemberKey(c.self.Generation)
 	c.writing = true
 	c.holder.BeginChange(next.Witnesses)
-	c.emit(Write{
+	c.emitWrite(Write{
 		Purpose: PurposeSelf,
 		Subject: c.self.Generation,
 		Transaction: storage.Transaction{
@@ -62,7 +70,22 @@
 	})
 }
 
+// emitWrite emits a write of the present timeline. A row that has not been written in it
+// counts as missing there.
+func (c *Core) emitWrite(w Write) {
+	w.Transaction.Timeline = c.timeline
+	for i, condition := range w.Transaction.Conditions {
+		if storage.TimelineOf(condition.Version) < c.timeline {
+			w.Transaction.Conditions[i].Version = 0
+		}
+	}
+	c.emit(w)
+}
+
 func (c *Core) writeDone(now time.Time, m WriteDone) {
+	if m.Write.Transaction.Timeline != c.timeline {
+		return
+	}
 	rows := wireRows(m.Rows)
 	switch m.Write.Purpose {
 	case PurposeSelf:
@@ -78,7 +101,7 @@
 			// rows before the other wrote its own, and no other member would inform
 			// them.
 			if !c.faults.NoReload {
-				c.emit(Reload{})
+				c.emit(Reload{At: now})
 			}
 		}
 	case PurposeTakeover:
@@ -87,6 +110,7 @@
 		c.planning = false
 	case PurposeMove:
 		c.writing, c.moving, c.movedSincePlan = false, false, m.Applied
+		c.writtenMove = nil
 		delete(c.backoffs, m.Write.Move.FirstSlot)
 		c.paceBalance(now, m.Write.Move)
 	}
--- a/control/simulation_test.go
+++ b/control/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -23,8 +24,11 @@
 	slotCount   = 64
 	faultTime   = 8 * time.Second // duration of fault injection in a run
 	settleLimit = 9 * time.Second // time within which a run must settle after the faults end
-	maxSteps    = 100_000         // a run takes a few thousand
-	callTimeout = 400 * time.Millisecond
+	// restoreSettleLimit is settleLimit in runs with restores: the time within which the platform
+	// expects service to be back.
+	restoreSettleLimit = 15 * time.Second
+	maxSteps           = 100_000 // a run takes a few thousand
+	callTimeout        = 400 * time.Millisecond
 )
 
 // shellFaults are deliberate faults in the shell around the core, for mutation
@@ -43,6 +47,7 @@
 	domains      int
 	remoteDomain bool // the last failure domain is in another region
 	quiet        bool // no random faults
+	restores     bool // the table is restored from copies
 	core         control.Faults
 	lease        lease.Faults
 	shellFaults  shellFaults
@@ -57,11 +62,13 @@
 	now            time.Duration
 	queue          events
 	sequence       int
-	rows           map[string]storage.Row
+	rows           map[storedKey]storage.Row
 	written        []storage.Row // all versions of all rows
 	revision       uint64
-	procs          []*process // by address
-	displaced      []*process // processes that run on after another process took over their address
+	timeline       uint64      // how often the table was restored
+	copies         []tableCopy // earlier states of the table
+	procs          []*process  // by address
+	displaced      []*process  // processes that run on after another process took over their address
 	lastGeneration wire.Generation
 	lastID         int
 
@@ -95,8 +102,8 @@
 
 // stats counts events in one or more runs.
 type stats struct {
-	Runs, Steps, Takeovers, Moves, Crashes, Pauses, Outages, Leaves, DomainOuts, Displaced, Requests, Writes, Reads, Staged int
-	Settled                                                                                                                 []time.Duration
+	Runs, Steps, Takeovers, Moves, Crashes, Pauses, Outages, Leaves, DomainOuts, Displaced, Restores, Requests, Writes, Reads, Staged int
+	Settled                                                                                                                           []time.Duration
 }
 
 type event struct {
@@ -128,7 +135,7 @@
 func newSimulation(s setup) *simulation {
 	w := &simulation{
 		setup: s, rng: rand.New(rand.NewPCG(uint64(s.seed), 1)), chaos: !s.quiet,
-		rows: make(map[string]storage.Row), cut: make(map[[2]int]bool), storeCut: make(map[int]bool),
+		rows: make(map[storedKey]storage.Row), cut: make(map[[2]int]bool), storeCut: make(map[int]bool),
 		highestEpoch: make(map[uint32]ownership), executed: make(map[uint32][]executed),
 	}
 	if !s.quiet {
@@ -154,18 +161,25 @@
 			w.schedule(w.between(0, 2*time.Second), fault)
 		}
 	}
+	if w.restores {
+		w.schedule(w.between(0, 2*time.Second), w.injectRestores)
+	}
 	w.runUntil(3*time.Second + faultTime)
 	w.heal()
 	w.runUntil(w.now + 20*time.Millisecond)
 	healed := w.now
-	for w.violation == "" && w.now < healed+settleLimit {
+	limit := settleLimit
+	if w.restores {
+		limit = restoreSettleLimit
+	}
+	for w.violation == "" && w.now < healed+limit {
 		if w.settled() && w.lostSlot() == "" {
 			w.stats.Settled = append(w.stats.Settled, w.now-healed)
 			break
 		}
 		w.runUntil(w.now + 50*time.Millisecond)
 	}
-	if w.violation == "" && w.now >= healed+settleLimit {
+	if w.violation == "" && w.now >= healed+limit {
 		w.violation = "not settled: " + w.unsettledReason() + w.lostSlot()
 	}
 	w.runUntil(w.now + time.Second)
@@ -447,10 +461,10 @@
 		if w.storeDown {
 			return
 		}
-		reply := request()
+		reply, timeline := request(), w.timeline
 		w.storeHop(p.index, func() {
 			p.run(func() {
-				p.storeAnswered = p.now()
+				p.storeAnswered, p.timeline = p.now(), max(p.timeline, timeline)
 				reply()
 			})
 		})
@@ -469,13 +483,22 @@
 	w.schedule(delay, do)
 }
 
-// transact applies a conditional transaction to the table.
+// storedKey is the key of a row of one timeline in the table.
+type storedKey struct {
+	timeline uint64
+	key      string
+}
+
+// transact applies a conditional transaction to the rows of its timeline.
 func (w *simulation) transact(tx storage.Transaction) storage.Result {
 	w.stats.Writes++
 	res := storage.Result{Applied: true}
 	var keys []string
 	for _, c := range tx.Conditions {
-		res.Applied = res.Applied && w.rows[c.Key].Version == c.Version
+		if c.Version != 0 && storage.TimelineOf(c.Version) != tx.Timeline {
+			w.fail("condition on version %x of %s in timeline %d", c.Version, c.Key, tx.Timeline)
+		}
+		res.Applied = res.Applied && w.rows[storedKey{tx.Timeline, c.Key}].Version == c.Version
 		keys = append(keys, c.Key)
 	}
 	if res.Applied {
@@ -485,17 +508,19 @@
 		if !slices.Contains(keys, write.Key) {
 			keys = append(keys, write.Key)
 		}
+		stored := storedKey{tx.Timeline, write.Key}
 		switch {
 		case !res.Applied:
 		case write.Delete:
-			delete(w.rows, write.Key)
+			delete(w.rows, stored)
 		default:
-			w.rows[write.Key] = storage.Row{Key: write.Key, Version: w.revision, Value: write.Value}
-			w.written = append(w.written, w.rows[write.Key])
+			w.rows[stored] = storage.Row{Key: write.Key, Version: storage.VersionAt(tx.Timeline, w.revision), Value: write.Value}
+			w.written = append(w.written, w.rows[stored])
 		}
 	}
+	w.keepCopy()
 	for _, key := range keys {
-		row := w.rows[key]
+		row := w.rows[storedKey{tx.Timeline, key}]
 		row.Key = key
 		res.Rows = append(res.Rows, row)
 	}
@@ -506,7 +531,9 @@
 func (w *simulation) checkUpdate(update wire.Rows) {
 	for _, r := range update.Rows {
 		if !r.Deleted && !slices.ContainsFunc(w.written, func(t storage.Row) bool {
-			return t.Version == r.Version && t.Key == r.Key && bytes.Equal(t.Value, r.Value)
+			timeline := storage.TimelineOf(r.Version)
+			uncertain := timeline == storage.TimelineOf(t.Version) && timeline < w.timeline && storage.IsReserved(r.Version)
+			return (t.Version == r.Version || uncertain) && t.Key == r.Key && bytes.Equal(t.Value, r.Value)
 		}) {
 			w.fail("row %s at version %d was not in the table", r.Key, r.Version)
 		}
@@ -517,12 +544,14 @@
 func (w *simulation) list(prefix string) []wire.Row {
 	w.stats.Reads++
 	var rows []wire.Row
-	for key, r := range w.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, wire.Row{Key: key, Version: r.Version, Value: r.Value})
+	for stored, r := range w.rows {
+		if strings.HasPrefix(stored.key, prefix) {
+			rows = append(rows, wire.Row{Key: stored.key, Version: r.Version, Value: r.Value})
 		}
 	}
-	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b wire.Row) int {
+		return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Version, b.Version))
+	})
 	return rows
 }
 
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -36,6 +36,10 @@
 	version uint64
 	since   time.Time
 	writing bool
+	// votes are the generations that have voted. nextRequest is when members that may renew
+	// the lease in an earlier timeline are asked for their votes again.
+	votes       map[wire.Generation]bool
+	nextRequest time.Time
 }
 
 // takeoverState is the state of generations that are closed or may have to be
@@ -62,7 +66,7 @@
 
 // findTakeovers starts to close generations whose lease has expired.
 func (c *Core) findTakeovers(now time.Time) {
-	if c.closing {
+	if c.closing || !c.registered() {
 		return
 	}
 	for _, g := range c.witness.Overdue(now) {
@@ -112,8 +116,8 @@
 		}
 	}
 	t := &takeover{
-		attempt: lease.NewTakeover(row.Member, row.Version, now, c.takeoverOptions()...),
-		version: row.Version, since: now,
+		attempt: lease.NewTakeover(c.rowToClose(row), row.Version, now, c.takeoverOptions()...),
+		version: row.Version, since: now, votes: make(map[wire.Generation]bool),
 	}
 	for _, w := range row.Witnesses {
 		if r := c.view.Member(w); r != nil && r.State == wire.StateClosed {
@@ -128,6 +132,9 @@
 }
 
 func (c *Core) runTakeovers(now time.Time) {
+	if !c.registered() {
+		return
+	}
 	c.closePredecessors(now)
 	for _, g := range slices.Sorted(maps.Keys(c.takeovers)) {
 		t := c.takeovers[g]
@@ -137,7 +144,7 @@
 		if c.storeReady(now) {
 			c.requestVotes(now, t)
 		}
-		if t.attempt.Decided(now) {
+		if t.attempt.Decided(now) && c.renewersAgree(now, g, t) {
 			c.writeTakeover(now, g, t)
 		}
 	}
@@ -147,23 +154,35 @@
 	for _, request := range t.attempt.VoteRequests(now, c.storeAnswered) {
 		vote := request.Vote
 		vote.From = c.self.Generation
-		if request.To == c.self.Generation {
-			t.attempt.AddVerdict(now, request.To, c.witness.Vote(now, vote))
-			continue
-		}
-		if to := c.peerAddr(request.To); to.IsValid() {
-			c.emit(RequestVote{To: to, Witness: request.To, Vote: vote})
-		}
+		c.requestVote(now, t, request.To, vote)
+	}
+}
+
+// requestVote asks a member for its vote.
+func (c *Core) requestVote(now time.Time, t *takeover, member wire.Generation, vote wire.Vote) {
+	if member == c.self.Generation {
+		c.addVerdict(now, t, member, c.vote(now, vote))
+		return
+	}
+	if to := c.peerAddr(member); to.IsValid() {
+		c.emit(RequestVote{To: to, Witness: member, Vote: vote})
+	}
+}
+
+func (c *Core) addVerdict(now time.Time, t *takeover, from wire.Generation, v wire.Verdict) {
+	t.attempt.AddVerdict(now, from, v)
+	if v.Expired {
+		t.votes[from] = true
 	}
 }
 
 func (c *Core) verdictArrived(now time.Time, m VerdictArrived) {
 	t := c.takeovers[m.Verdict.Holder]
-	if t == nil || t.writing {
+	if t == nil || t.writing || !c.registered() {
 		return
 	}
-	t.attempt.AddVerdict(now, m.Witness, m.Verdict)
-	if t.attempt.Decided(now) {
+	c.addVerdict(now, t, m.Witness, m.Verdict)
+	if t.attempt.Decided(now) && c.renewersAgree(now, m.Verdict.Holder, t) {
 		c.writeTakeover(now, m.Verdict.Holder, t)
 	}
 }
@@ -184,7 +203,7 @@
 }
 
 func (c *Core) emitTakeover(row wire.Member, tx storage.Transaction, heirs []wire.Generation, reason string) {
-	c.emit(Write{
+	c.emitWrite(Write{
 		Purpose: PurposeTakeover, Subject: row.Generation, Transaction: tx,
 		Entry: audit.Entry{
 			Who: c.self.Instance, What: audit.Takeover, Subject: row.Instance,
@@ -223,16 +242,32 @@
 	return c.leased && now.Sub(since) >= wait
 }
 
+// rowToClose returns the row of a generation that is to be closed. What it owned in an
+// earlier timeline is not owned in the present one.
+func (c *Core) rowToClose(m *routes.MemberRow) wire.Member {
+	row := m.Member
+	if storage.TimelineOf(m.Version) < c.timeline {
+		row.Claims, row.ReleasedSlots = nil, nil
+	}
+	return row
+}
+
 // closePredecessor closes a generation without votes. The row that it writes names
-// no witnesses, so that it does not count as a vote elsewhere.
+// no witnesses, so that it does not count as a vote elsewhere. A predecessor of an earlier
+// timeline has to count: no slots are assigned until all of those are closed. If no two
+// processes can receive at one address, it certainly renews nobody any more.
 func (c *Core) closePredecessor(now time.Time, row *routes.MemberRow) {
 	heirs := []wire.Generation{c.self.Generation}
 	if c.self.State != wire.StateActive && !c.exclusiveAddress {
 		heirs = c.heirs(now, row.Member)
 	}
 	const reason = "its successor has held its address since"
+	var witnesses []wire.Generation
+	if c.exclusiveAddress && storage.TimelineOf(row.Version) < c.timeline {
+		witnesses = row.Witnesses
+	}
 	tx, err := lease.Closing{
-		Row: row.Member, Version: row.Version, Closer: c.self.Generation, CloserVersion: c.version,
+		Witnesses: witnesses, Row: c.rowToClose(row), Version: row.Version, Closer: c.self.Generation, CloserVersion: c.version,
 		Heirs: heirs, Change: c.newID(), Reason: reason,
 	}.Transaction()
 	if err != nil {
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fulmarrun/audit"
 	"fulmarrun/control"
 	"fulmarrun/logs"
@@ -52,7 +54,9 @@
 		i.spawn(i.probe)
 	case control.Reload:
 		i.spawn(func(ctx context.Context) {
-			i.loadRows(ctx, func(rows []wire.Row) control.Message { return control.RowsArrived{Rows: rows} })
+			i.loadRows(ctx, func(rows []wire.Row, timeline uint64) control.Message {
+				return control.RowsArrived{Rows: rows, ReloadAt: e.At, Timeline: timeline}
+			})
 		})
 	case control.Drain:
 		i.spawn(i.drainAll)
@@ -91,6 +95,11 @@
 // write retries a transaction until its outcome is known.
 func (i *incarnation) write(ctx context.Context, tx control.Write) {
 	out := storage.Settle(ctx, i.d.store, tx.Transaction, isOwnWrite(tx.Transaction))
+	if errors.Is(out.Err, storage.ErrRestored) {
+		// The core gives up the write when it learns of the new timeline.
+		i.d.log.Info(logs.EventWriteObsolete, logs.FieldWhat, tx.Entry.What, logs.FieldErr, out.Err)
+		return
+	}
 	if out.Verdict == storage.Unknown {
 		if ctx.Err() == nil {
 			i.d.log.Error(logs.EventWriteRejected, logs.FieldErr, out.Err)
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -121,9 +121,9 @@
 	i.postTargetState()
 	i.publish()
 	i.spawn(func(ctx context.Context) {
-		i.loadRows(ctx, func(rows []wire.Row) control.Message {
+		i.loadRows(ctx, func(rows []wire.Row, timeline uint64) control.Message {
 			i.d.loadDepartedTarget(rows)
-			return control.RowsLoaded{Rows: rows, Wall: time.Now()}
+			return control.RowsLoaded{Rows: rows, Timeline: timeline, Wall: time.Now()}
 		})
 	})
 	if i.d.fetchedGrants == nil {
@@ -141,7 +141,7 @@
 			return false, nil
 		case <-ticker.C:
 			i.d.logTimeline()
-			i.processMessage(control.Tick{StoreAnswered: i.d.store.LastAnswer(), Wall: time.Now()})
+			i.processMessage(control.Tick{StoreAnswered: i.d.store.LastAnswer(), Wall: time.Now(), Timeline: i.d.store.Timeline()})
 		case m := <-i.inbox:
 			i.processMessage(m)
 		case reason := <-i.d.leave:
@@ -298,12 +298,12 @@
 }
 
 // loadRows reads all rows from the platform and retries until it succeeds.
-func (i *incarnation) loadRows(ctx context.Context, message func([]wire.Row) control.Message) {
+func (i *incarnation) loadRows(ctx context.Context, message func(rows []wire.Row, timeline uint64) control.Message) {
 	backoff := storage.NewBackoff()
 	for {
-		rows, err := i.listRows(ctx)
+		rows, timeline, err := i.listRows(ctx)
 		if err == nil {
-			i.post(ctx, message(rows))
+			i.post(ctx, message(rows, timeline))
 			return
 		}
 		i.d.log.Warn(logs.EventPlatformReadFailed, logs.FieldErr, err)
@@ -313,7 +313,17 @@
 	}
 }
 
-func (i *incarnation) listRows(ctx context.Context) ([]wire.Row, error) {
+// listRows reads all rows, and returns the timeline in which all of them were read.
+func (i *incarnation) listRows(ctx context.Context) (rows []wire.Row, timeline uint64, err error) {
+	for {
+		timeline = i.d.store.Timeline()
+		if rows, err = i.listRowsOnce(ctx); err != nil || i.d.store.Timeline() == timeline {
+			return rows, timeline, err
+		}
+	}
+}
+
+func (i *incarnation) listRowsOnce(ctx context.Context) ([]wire.Row, error) {
 	var out []wire.Row
 	prefixes := []string{routes.MemberPrefix, routes.SlotsPrefix}
 	if i.d.protocols.WatchConfig == nil {
@@ -328,7 +338,7 @@
 			}
 			for _, r := range page {
 				out = append(out, control.WireRow(r))
-				after = r.Key
+				after = r.Next()
 			}
 			if len(page) < listPage {
 				break
--- a/lease/witness.go
+++ b/lease/witness.go
@@ -122,6 +122,19 @@
 	return wire.Verdict{Holder: v.Holder, Expired: true}
 }
 
+// Renewing returns, in ascending order, the holders that this witness watches or has answered
+// lately, and that it has not voted against.
+func (w *Witness) Renewing() []wire.Generation {
+	var out []wire.Generation
+	for holder, state := range w.holders {
+		if !state.voted {
+			out = append(out, holder)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Overdue returns, in ascending order, the watched holders whose leases this witness
 // would vote to be expired. The slice is valid until the next call.
 func (w *Witness) Overdue(now time.Time) []wire.Generation {
--- a/routes/delta_test.go
+++ b/routes/delta_test.go
@@ -84,17 +84,17 @@
 	}
 }
 
-// TestPatchRefuses applies a delta from version 2 to 3 to views with another version,
-// and invalid deltas to version 2.
+// TestPatchRefuses applies a delta from version 102 to 103 to views with another version,
+// and invalid deltas to version 102.
 func TestPatchRefuses(t *testing.T) {
 	rows := make([]wire.Row, 5)
 	for i := range rows {
 		row := slots()
 		row.Revision = uint64(i)
-		rows[i] = encoded(&row, uint64(i))
+		rows[i] = encoded(&row, 100+uint64(i))
 	}
 	key := rows[0].Key
-	deleted := wire.Row{Key: key, Version: 2, Deleted: true}
+	deleted := wire.Row{Key: key, Version: 102, Deleted: true}
 	good := delta(t, rows[2], rows[3])
 	forged, long := good, good
 	forged.Checksum++
--- a/routes/faults.go
+++ b/routes/faults.go
@@ -16,4 +16,7 @@
 	IgnoreReleases bool
 	// SkipBaseCheck applies a delta to any version of the row and accepts any result.
 	SkipBaseCheck bool
+	// IgnoreTimelines takes members of a later timeline for owners by rows of an earlier one,
+	// whatever they have claimed.
+	IgnoreTimelines bool
 }
--- a/routes/view.go
+++ b/routes/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/storage"
 	"fulmarrun/wire"
 )
 
@@ -42,6 +43,8 @@
 	changes  uint64
 	services map[string]*service
 	config   wire.CurrentConfig
+	// claims are the claims of generations of this daemon.
+	claims   map[wire.Generation]claim
 	snapshot *Snapshot
 	dirty    bool
 	faults   Faults
@@ -60,6 +63,7 @@
 		rows:     make(map[string]entry),
 		members:  make(map[wire.Generation]*MemberRow),
 		services: make(map[string]*service),
+		claims:   make(map[wire.Generation]claim),
 		snapshot: newSnapshot(),
 	}
 	for _, opt := range opts {
@@ -90,7 +94,8 @@
 	if known && row.Version <= old.row.Version {
 		return RowChange{}, false, nil
 	}
-	if !known || old.row.Deleted || row.Deleted {
+	if !known || old.row.Deleted || row.Deleted || storage.IsReserved(old.row.Version) {
+		// Other daemons may have another row under a reserved version, so it is no base.
 		return v.store(row, nil)
 	}
 	d := diff(old.row, row)
@@ -187,7 +192,8 @@
 		v.members[next.Generation] = next
 		v.ordered = putMember(v.ordered, next)
 	}
-	if old != nil && next != nil && isOpen(old) && isOpen(next) && ownerOf(old) == ownerOf(next) {
+	if old != nil && next != nil && isOpen(old) && isOpen(next) && ownerOf(old) == ownerOf(next) &&
+		storage.TimelineOf(old.Version) == storage.TimelineOf(next.Version) {
 		s := v.services[next.Service]
 		s.open = putMember(s.open, next)
 		return
@@ -331,7 +337,8 @@
 func (r Resolution) Free() bool { return r.Known && r.Owner == 0 }
 
 // Resolve returns the owner of a slot, or of a hot key, of a row. It follows the chain
-// of heirs from the entry. If a closed generation on the chain has handed over slots
+// of heirs from the entry. In a row of an earlier timeline, a member of a later one owns only
+// what it has claimed. If a closed generation on the chain has handed over slots
 // in a later revision of the row, the row cannot determine the owner. A cycle of
 // closed generations, each of which took another to be open, has no heir at its end,
 // so its slots are free.
@@ -348,6 +355,9 @@
 		if m == nil {
 			return Resolution{Epoch: epoch}
 		}
+		if owns, earlier := v.ownsByEarlierRow(m, row, slot, hot); earlier && !owns && !v.faults.IgnoreTimelines {
+			return Resolution{Epoch: epoch}
+		}
 		if m.State != wire.StateClosed {
 			return Resolution{Owner: owner, Epoch: epoch, TransferID: transfer, AssignedAt: since, Token: token, Known: true}
 		}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -191,6 +191,9 @@
 	// of the row, in which no row of slots had been written yet. Empty if it joined in that
 	// timeline.
 	Claims []byte `msg:"m,omitempty"`
+	// Renews lists the generations whose leases this generation goes on to renew although
+	// their rows belong to an earlier timeline.
+	Renews []Generation `msg:"n,omitempty"`
 	// Joined is when this generation wrote its row for the first time.
 	Joined time.Time `msg:"j"`
 	// Change is the request ID of the write that produced this version.
--- a/wire/schema_gen.go
+++ b/wire/schema_gen.go
@@ -1039,13 +1039,17 @@
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(17)
-	var zb0001Mask uint32 /* 17 bits */
+	zb0001Len := uint32(18)
+	var zb0001Mask uint32 /* 18 bits */
 	_ = zb0001Mask
 	if z.Claims == nil {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.Renews == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1119,6 +1123,14 @@
 			o = append(o, 0xa1, 0x6d)
 			o = msgp.AppendBytes(o, z.Claims)
 		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Renews)))
+			for za0004 := range z.Renews {
+				o = msgp.AppendUint64(o, uint64(z.Renews[za0004]))
+			}
+		}
 		// string "j"
 		o = append(o, 0xa1, 0x6a)
 		o = msgp.AppendTime(o, z.Joined)
@@ -1322,6 +1334,29 @@
 				err = msgp.WrapError(err, "Claims")
 				return
 			}
+		case "n":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Renews")
+				return
+			}
+			if cap(z.Renews) >= int(zb0012) {
+				z.Renews = (z.Renews)[:zb0012]
+			} else {
+				z.Renews = make([]Generation, zb0012)
+			}
+			for za0004 := range z.Renews {
+				{
+					var zb0013 uint64
+					zb0013, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Renews", za0004)
+						return
+					}
+					z.Renews[za0004] = Generation(zb0013)
+				}
+			}
 		case "j":
 			z.Joined, bts, err = msgp.ReadTimeBytes(bts)
 			if err != nil {
@@ -1360,7 +1395,7 @@
 	s += msgp.StringPrefixSize + len(zb0001) + 2
 	var zb0002 string
 	_ = z.Caller
-	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.DepartedTarget) + 2 + msgp.ArrayHeaderSize + (len(z.ReleasedSlots) * (20 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.BytesPrefixSize + len(z.Claims) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s += msgp.StringPrefixSize + len(zb0002) + 2 + msgp.ArrayHeaderSize + (len(z.Witnesses) * (msgp.Uint64Size)) + 2 + msgp.Uint8Size + 2 + msgp.ArrayHeaderSize + (len(z.Heirs) * (msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.DepartedTarget) + 2 + msgp.ArrayHeaderSize + (len(z.ReleasedSlots) * (20 + msgp.Uint32Size + msgp.Uint64Size)) + 2 + msgp.BytesPrefixSize + len(z.Claims) + 2 + msgp.ArrayHeaderSize + (len(z.Renews) * (msgp.Uint64Size)) + 2 + msgp.TimeSize + 2 + msgp.StringPrefixSize + len(z.Change) + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
