grants: the size of fences above 65,535 counts

What targets would have got: after a restore, epochs start at 2^24, and an answer with many ranges is longer than reckoned; a target takes none above 4 KiB, and so renews nothing. Cause: the size of a grant was reckoned with a fence of three bytes. After a restore the only remaining target of a service is granted at least 300 ranges, where neighbours never have the same fence; with the same fence they are one range.

--- a/grants/grants.go
+++ b/grants/grants.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -22,11 +23,14 @@
 	minHold = 100 * time.Millisecond
 	// defaultAnswerSpace is the default of the maximum size of an answer in bytes.
 	defaultAnswerSpace = 4 << 10
-	// grantBytes is the msgpack size of a grant in an answer, with a fence below 65,536;
+	// grantBytes is the msgpack size of a grant in an answer, with a fence below 65,536, and
+	// longFenceBytes and longestFenceBytes are what higher fences add up to 32 bits and beyond;
 	// tokenBytes is the size of its token, and answerBytes that of the rest of the answer.
-	grantBytes  = 11
-	tokenBytes  = 18
-	answerBytes = 64
+	grantBytes        = 11
+	longFenceBytes    = 2
+	longestFenceBytes = 6
+	tokenBytes        = 18
+	answerBytes       = 64
 	// maxAnswerDelay is how long after its beat was received an answer can still take effect:
 	// targets discard an answer that takes a second.
 	maxAnswerDelay = 1200 * time.Millisecond
@@ -225,10 +229,17 @@
 }
 
 func (g *Grant) encodedSize() int {
-	if g.Token == "" {
-		return grantBytes
+	size := grantBytes
+	switch {
+	case g.Fence > math.MaxUint32:
+		size += longestFenceBytes
+	case g.Fence > math.MaxUint16:
+		size += longFenceBytes
+	}
+	if g.Token != "" {
+		size += tokenBytes
 	}
-	return grantBytes + tokenBytes
+	return size
 }
 
 // Withhold omits a slot from all further answers.
