control, daemon: a target that has left stays so if the store forgets it

Callers would see: a target that had announced that it leaves for good gets work again, if its daemon restarts and the store has been restored to a time before. The new process read the copy, and closed its predecessor's row before it had heard of the later state that members remember. Change: a generation leaves predecessors of earlier timelines open for a second and compares its rows with all neighbours at once; rows of its predecessors reach the daemon whenever they arrive.

--- a/control/core.go
+++ b/control/core.go
@@ -313,6 +313,9 @@
 		return
 	}
 	if m := c.view.MemberOf(row.Key); m != nil && m.Generation != 0 && m.Version == row.Version {
+		if m.Instance == c.self.Instance && m.Generation != c.self.Generation && m.DepartedTarget != "" {
+			c.emit(PredecessorFound{Row: row})
+		}
 		c.applyMember(now, m.Member, m.Version)
 	}
 }
--- a/control/effect.go
+++ b/control/effect.go
@@ -121,6 +121,10 @@
 // KeyedDrained.
 type DrainKeyed struct{ Round int }
 
+// PredecessorFound delivers the row of another generation of the same instance. Members may
+// remember a later state of it than the platform.
+type PredecessorFound struct{ Row wire.Row }
+
 // Closed reports that this generation has ended and must not serve any requests.
 type Closed struct{ Reason string }
 
@@ -128,18 +132,19 @@
 // slots any more or no member can take them.
 type LeaveCompleted struct{}
 
-func (SendHeartbeat) effect()  {}
-func (RequestVote) effect()    {}
-func (Write) effect()          {}
-func (SendRows) effect()       {}
-func (Compare) effect()        {}
-func (LoadConfig) effect()     {}
-func (Move) effect()           {}
-func (FinishMove) effect()     {}
-func (RowSkipped) effect()     {}
-func (Closed) effect()         {}
-func (Probe) effect()          {}
-func (Reload) effect()         {}
-func (Drain) effect()          {}
-func (DrainKeyed) effect()     {}
-func (LeaveCompleted) effect() {}
+func (SendHeartbeat) effect()    {}
+func (RequestVote) effect()      {}
+func (Write) effect()            {}
+func (SendRows) effect()         {}
+func (Compare) effect()          {}
+func (LoadConfig) effect()       {}
+func (Move) effect()             {}
+func (FinishMove) effect()       {}
+func (RowSkipped) effect()       {}
+func (PredecessorFound) effect() {}
+func (Closed) effect()           {}
+func (Probe) effect()            {}
+func (Reload) effect()           {}
+func (Drain) effect()            {}
+func (DrainKeyed) effect()       {}
+func (LeaveCompleted) effect()   {}
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -270,12 +270,15 @@
 		return
 	}
 	c.compareCount++
-	c.emit(Compare{
-		To: to[c.compareCount%len(to)],
-		Summary: wire.Summary{
-			From: c.self.Generation, Groups: c.view.GroupDigests(), ConfigNumber: c.config.Number,
-		},
-	})
+	summary := wire.Summary{From: c.self.Generation, Groups: c.view.GroupDigests(), ConfigNumber: c.config.Number}
+	if c.compareCount == 1 && c.timeline > 0 {
+		// Any of them may know what the platform has forgotten.
+		for _, neighbour := range to {
+			c.emit(Compare{To: neighbour, Summary: summary})
+		}
+		return
+	}
+	c.emit(Compare{To: to[c.compareCount%len(to)], Summary: summary})
 }
 
 // reloadMissing reads all rows from the platform again if some are missing here,
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -20,6 +20,9 @@
 const predecessorTTLs = 1.5
 
 const (
+	// predecessorReadTime is how long a generation leaves its predecessors of earlier timelines
+	// open, so that it learns from other members what the platform has forgotten of them.
+	predecessorReadTime = time.Second
 	// voteTimeout is how long an attempt may collect votes before it is restarted
 	// with the current version of the row.
 	voteTimeout = time.Second
@@ -231,6 +234,9 @@
 // isSuperseded reports whether another generation with the own address is known to
 // receive nothing there any more.
 func (c *Core) isSuperseded(now time.Time, row *routes.MemberRow) bool {
+	if storage.TimelineOf(row.Version) < c.timeline && now.Sub(c.enteredAt) < predecessorReadTime {
+		return false
+	}
 	if c.faults.NoPredecessorWait || c.exclusiveAddress {
 		return true
 	}
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -93,7 +93,7 @@
 // it no more work after the delay. The caller holds the lock.
 func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
 	f := d.fetchedGrants
-	f.departed, f.departedTarget = true, f.beat.String()
+	f.departed, f.departedTarget, f.departedKnownFrom = true, f.beat.String(), time.Time{}
 	d.drainTarget(reason, delay)
 	d.publishTargetState(reason)
 }
@@ -107,18 +107,17 @@
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.departedTarget != "" {
+	if f.departedTarget != "" && f.departedKnownFrom.IsZero() {
 		return
 	}
-	var latest time.Time
 	for _, r := range rows {
 		var m wire.Member
 		if r.Deleted || !strings.HasPrefix(r.Key, routes.MemberPrefix) || wire.Decode(r.Value, &m) != nil {
 			// Rows that can't be decoded are logged where rows are applied.
 			continue
 		}
-		if m.Instance == d.settings.Instance && m.DepartedTarget != "" && !m.Joined.Before(latest) {
-			f.departedTarget, latest = m.DepartedTarget, m.Joined
+		if m.Instance == d.settings.Instance && m.DepartedTarget != "" && !m.Joined.Before(f.departedKnownFrom) {
+			f.departedTarget, f.departedKnownFrom = m.DepartedTarget, m.Joined
 		}
 	}
 	if !f.lastBeatAt.IsZero() && f.beat.String() == f.departedTarget && !f.departed {
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -39,6 +39,9 @@
 	// have received that notice.
 	departed       bool
 	departedTarget string
+	// departedKnownFrom is when the generation joined whose row departedTarget was read from;
+	// zero if the target itself told it to this process.
+	departedKnownFrom time.Time
 	// draining is true after the target process says that it drains or leaves, until it or
 	// another process accepts work.
 	draining   bool
