daemon: a target that leaves is closed by when any daemon first heard of it

Callers' daemons would break what they passed on: a new process beside a target that leaves was told so by one daemon, and ignored others that had heard of it earlier, so that requests of these reached the target up to 2.3 s after they had passed on that it leaves (2 s are allowed). Cause: a statement that changes nothing was dropped together with its age.

--- a/daemon/condition.go
+++ b/daemon/condition.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"fulmarrun/clock"
 	"fulmarrun/logs"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
@@ -15,6 +16,10 @@
 	sourcePeer   = "peer"
 )
 
+// leavingTolerance is how much earlier a peer must have heard that the target leaves to change
+// when it is closed. The age that a request carries does not count its way.
+const leavingTolerance = 10 * time.Millisecond
+
 // unknownAge is the age of a statement that may have been made at any time before.
 const unknownAge = time.Hour
 
@@ -25,6 +30,9 @@
 	statement targethttp.Statement
 	// answered is true once the process has given this daemon a whole answer.
 	answered bool
+	// leavingSince is when the first known answer was received that states that the target
+	// leaves.
+	leavingSince time.Time
 }
 
 // current returns the condition of the current process.
@@ -39,7 +47,7 @@
 	c := &d.condition
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.process, c.statement, c.answered = process, targethttp.Statement{}, false
+	c.process, c.statement, c.answered, c.leavingSince = process, targethttp.Statement{}, false, time.Time{}
 	d.limitStatedRate(targethttp.Condition{})
 }
 
@@ -48,7 +56,7 @@
 // gone through an earlier process of the daemon.
 func (d *Daemon) observeCondition(from targethttp.Destination, stated targethttp.Condition, sentAt time.Time) {
 	d.updateCondition(from.Process, sourceAnswer, func(c *targetCondition) (age time.Duration) {
-		if !c.answered {
+		if !c.answered && !c.statement.Leaving {
 			age = unknownAge
 		}
 		c.statement = c.statement.Update(stated, sentAt, time.Now())
@@ -83,17 +91,28 @@
 	if after.RateLimited != before.RateLimited || after.RateLimit != before.RateLimit {
 		d.limitStatedRate(after)
 	}
+	leaves := after.Leaving && c.leavesEarlier(before.Leaving, clock.Now().Add(-age))
 	c.mu.Unlock()
+	if leaves {
+		d.targetLeaves(process, age)
+	}
 	if after == before {
 		return
 	}
-	if after.Leaving && !before.Leaving {
-		d.targetLeaves(process, age)
-	}
 	d.logStateChange(logs.EventTargetCondition, "", logs.FieldTarget, process, logs.FieldFrom, source,
 		logs.FieldLimited, after.RateLimited, logs.FieldRate, after.RateLimit, logs.FieldLeaving, after.Leaving)
 }
 
+// leavesEarlier records since when the target has stated that it leaves, and reports whether
+// that is not known yet, or is earlier by more than requests differ in their ways here.
+func (c *targetCondition) leavesEarlier(known bool, since time.Time) bool {
+	if known && since.After(c.leavingSince.Add(-leavingTolerance)) {
+		return false
+	}
+	c.leavingSince = since
+	return true
+}
+
 // limitStatedRate limits the requests to the target to the rate that it states. The caller
 // holds the lock of the condition, so that the last statement counts.
 func (d *Daemon) limitStatedRate(stated targethttp.Condition) {
