--- a/control/faults.go
+++ b/control/faults.go
@@ -25,13 +25,8 @@
 	// RefoundUnsettled assigns slots in a new timeline while others may own them by rows of
 	// an earlier one.
 	RefoundUnsettled bool
-	// ClaimWritten claims the slots of a hand-over that is being written.
-	ClaimWritten bool
 	// EnterUnleased continues in a new timeline without a lease.
 	EnterUnleased bool
-	// IgnoreRenewers closes a generation of an earlier timeline by the votes of the
-	// witnesses that its known row names.
-	IgnoreRenewers bool
 	// TrustCopy takes rows of an earlier timeline that are read from the platform for as
 	// good as those that members have.
 	TrustCopy bool
--- a/control/timeline.go
+++ b/control/timeline.go
@@ -79,7 +79,7 @@
 			routes.SetInBitmap(out, h.Slot, true)
 		}
 	}
-	if c.writtenMove != nil && !c.faults.ClaimWritten {
+	if c.writtenMove != nil {
 		for _, m := range c.writtenMove.Moves {
 			routes.SetInBitmap(out, m.Slot, false)
 		}
@@ -223,7 +223,7 @@
 // that names its witnesses may be lost.
 func (c *Core) mayRenew(holder wire.Generation) bool {
 	m := c.view.Member(holder)
-	if m == nil || storage.TimelineOf(m.Version) >= c.timeline || c.faults.IgnoreRenewers {
+	if m == nil || storage.TimelineOf(m.Version) >= c.timeline {
 		return true
 	}
 	return c.registered() && slices.Contains(c.self.Renews, holder)
@@ -245,7 +245,7 @@
 // the present timeline, whether or not the row that is known of the holder names the member. It
 // requests the votes that are missing.
 func (c *Core) renewersAgree(now time.Time, g wire.Generation, t *takeover) bool {
-	if storage.TimelineOf(t.version) >= c.timeline || c.faults.IgnoreRenewers {
+	if storage.TimelineOf(t.version) >= c.timeline {
 		return true
 	}
 	if !c.rereadAfter(now, c.enteredAt.Add(c.holder.TTL())) {
