control: renewals while many daemons enter a timeline, and those that a row forgot

A daemon marked its answers to holders that it did not know to have entered until its own row was written; 6,572 daemons take 5.5 s for that at 1,200 writes a second, longer than a lease. It now goes on for a millisecond a member, and who closes a holder waits as much longer.

--- a/control/core.go
+++ b/control/core.go
@@ -384,7 +384,7 @@
 // eligible reports whether a member may own slots. One whose row has not been written in the
 // present timeline may have ended without a trace there.
 func (c *Core) eligible(o *routes.Owner) bool {
-	if m := c.view.Member(o.Generation); m != nil && storage.TimelineOf(m.Version) < c.timeline {
+	if c.isBehind(o.Generation) {
 		return false
 	}
 	if !o.AcceptsWork(func(domain string) bool { return slices.Contains(c.config.Out, domain) }) {
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -60,7 +60,7 @@
 	if !to.IsValid() {
 		return
 	}
-	answer, ok := c.witness.Answer(now, hb, !c.closing && c.holder.Supported(now) && c.mayRenew(hb.From))
+	answer, ok := c.witness.Answer(now, hb, !c.closing && c.holder.Supported(now) && c.mayRenew(now, hb.From))
 	if !ok {
 		return
 	}
--- a/control/self.go
+++ b/control/self.go
@@ -46,8 +46,9 @@
 func (c *Core) writeSelf(next wire.Member, what, reason string) {
 	next.Change, next.Reason = c.newID(), reason
 	if c.registered() && c.refounded() {
-		next.Claims, next.Renews = nil, nil
+		next.Claims = nil
 	}
+	next.Renews = c.stillRenewed(next.Renews)
 	value, err := wire.Encode(&next)
 	if err != nil {
 		return
--- a/control/timeline.go
+++ b/control/timeline.go
@@ -19,6 +19,10 @@
 // the lease of a holder that has not entered the present timeline.
 const renewerVoteInterval = 200 * time.Millisecond
 
+// registrationTime is the time for each member in which all of them write their rows in a new
+// timeline, at the rate of writes that the platform accepts.
+const registrationTime = time.Millisecond
+
 // timelineState is the state of the change from one timeline of the platform to the next.
 type timelineState struct {
 	// timeline is the latest timeline that is known here. The rows that this generation
@@ -118,7 +122,7 @@
 // rows of an earlier timeline has claimed its slots or is closed.
 func (c *Core) settled(now time.Time) bool {
 	for _, m := range c.view.Members() {
-		if m.Service == c.self.Service && m.State != wire.StateClosed && storage.TimelineOf(m.Version) < c.timeline {
+		if m.Service == c.self.Service && m.State != wire.StateClosed && c.isBehind(m.Generation) {
 			c.unsettledAt = now
 			return false
 		}
@@ -219,23 +223,42 @@
 }
 
 // mayRenew reports whether the lease of a holder may be renewed. If its row belongs to an
-// earlier timeline, the present one has to show that this generation renews it: the row
-// that names its witnesses may be lost.
-func (c *Core) mayRenew(holder wire.Generation) bool {
-	m := c.view.Member(holder)
-	if m == nil || storage.TimelineOf(m.Version) >= c.timeline {
+// earlier timeline, the present one has to show that this generation renews it, as soon as
+// all members can have written their rows: the row that names its witnesses may be lost.
+func (c *Core) mayRenew(now time.Time, holder wire.Generation) bool {
+	if !c.isBehind(holder) {
 		return true
 	}
-	return c.registered() && slices.Contains(c.self.Renews, holder)
+	return slices.Contains(c.self.Renews, holder) && (c.registered() || now.Sub(c.enteredAt) < c.timeToRegister())
+}
+
+// isBehind reports whether a generation is not known to have entered the present timeline.
+func (c *Core) isBehind(g wire.Generation) bool {
+	m := c.view.Member(g)
+	return m != nil && storage.TimelineOf(m.Version) < c.timeline
+}
+
+// timeToRegister returns how long after it entered a timeline a generation may take to write
+// its row.
+func (c *Core) timeToRegister() time.Duration {
+	return time.Duration(len(c.view.Members())) * registrationTime
+}
+
+// stillRenewed returns the generations of a list of Member.Renews that are neither closed nor
+// known to have entered the present timeline.
+func (c *Core) stillRenewed(renews []wire.Generation) []wire.Generation {
+	return slices.DeleteFunc(slices.Clone(renews), func(g wire.Generation) bool {
+		m := c.view.Member(g)
+		return m != nil && (m.State == wire.StateClosed || !c.isBehind(g))
+	})
 }
 
 // vote returns the verdict of this generation, as a witness, on the lease of another. The
 // row of a holder that has not entered the present timeline may name witnesses that it has
 // replaced since, which must not vote.
 func (c *Core) vote(now time.Time, v wire.Vote) wire.Verdict {
-	m := c.view.Member(v.Holder)
-	if m != nil && storage.TimelineOf(m.Version) < c.timeline &&
-		!slices.Contains(m.Witnesses, c.self.Generation) && !slices.Contains(c.self.Renews, v.Holder) {
+	if c.isBehind(v.Holder) && !slices.Contains(c.view.Member(v.Holder).Witnesses, c.self.Generation) &&
+		!slices.Contains(c.self.Renews, v.Holder) {
 		return wire.Verdict{Holder: v.Holder, Wait: c.holder.TTL()}
 	}
 	return c.witness.Vote(now, v)
@@ -248,12 +271,13 @@
 	if storage.TimelineOf(t.version) >= c.timeline {
 		return true
 	}
-	if !c.rereadAfter(now, c.enteredAt.Add(c.holder.TTL())) {
+	// Others may have entered later, and know of more members.
+	if !c.rereadAfter(now, c.enteredAt.Add(c.holder.TTL()+2*c.timeToRegister())) {
 		return false
 	}
 	agree := true
 	for _, m := range c.view.Members() {
-		if storage.TimelineOf(m.Version) < c.timeline || t.votes[m.Generation] || !slices.Contains(m.Renews, g) {
+		if c.isBehind(m.Generation) || t.votes[m.Generation] || !slices.Contains(m.Renews, g) {
 			continue
 		}
 		if m.State == wire.StateClosed && now.Sub(c.closedSince[m.Generation]) >= c.holder.TTL() {
