--- a/daemon/notice.go
+++ b/daemon/notice.go
@@ -49,8 +49,8 @@
 }
 
 // setConfig puts a configuration in force for traffic, together with the parts of the
-// present one that are newer, and reports whether anything has changed. It returns the number of the
-// configuration in force.
+// present one that are newer. It returns the number of the configuration in force, and
+// whether that has changed.
 func (d *Daemon) setConfig(file *config.File, number wire.ConfigNumber, text []byte) (wire.ConfigNumber, bool, error) {
 	d.configMu.Lock()
 	defer d.configMu.Unlock()
