--- a/control/model_test.go
+++ b/control/model_test.go
@@ -48,10 +48,16 @@
 	return s
 }
 
-func TestModel(t *testing.T) {
+func TestModel(t *testing.T) { playModel(t, func(*setup) {}) }
+
+// playModel plays the runs that the flags name, each with an altered setup.
+func playModel(t *testing.T, alter func(s *setup)) {
+	t.Helper()
 	var total stats
 	for seed := *from; seed < *from+int64(*seeds); seed++ {
-		w := newSimulation(randomSetup(seed))
+		s := randomSetup(seed)
+		alter(&s)
+		w := newSimulation(s)
 		if seed == *trace {
 			w.traceTo(func(line string) { t.Log(line) })
 		}
--- a/control/plan.go
+++ b/control/plan.go
@@ -199,7 +199,7 @@
 // witness: its closed row may have to count as a vote.
 func (c *Core) deleteClosed(now time.Time) {
 	for _, m := range c.view.Members() {
-		if m.Service != c.self.Service || m.State != wire.StateClosed || storage.TimelineOf(m.Version) < c.timeline ||
+		if m.Service != c.self.Service || m.State != wire.StateClosed || c.isBehind(m.Generation) ||
 			now.Sub(c.closedSince[m.Generation]) < c.retention || c.referenced(m.Generation) || c.isWitness(m.Generation) {
 			continue
 		}
--- a/control/restore_test.go
+++ b/control/restore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -59,25 +58,7 @@
 
 // TestModelRestores is TestModel with a table that is restored from copies.
 func TestModelRestores(t *testing.T) {
-	var total stats
-	for seed := *from; seed < *from+int64(*seeds); seed++ {
-		s := randomSetup(seed)
-		s.restores = true
-		w := newSimulation(s)
-		if seed == *trace {
-			w.traceTo(func(line string) { t.Log(line) })
-		}
-		if violation := w.run(); violation != "" {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
-		total.add(w.stats)
-	}
-	slices.Sort(total.Settled)
-	if n := len(total.Settled); n > 0 {
-		t.Logf("settled after: median %v, 99%% %v, most %v", total.Settled[n/2], total.Settled[n*99/100], total.Settled[n-1])
-	}
-	total.Settled = nil
-	t.Logf("%+v", total)
+	playModel(t, func(s *setup) { s.restores = true })
 }
 
 // TestModelRestoresRegressions repeats runs with restores whose seeds have found faults.
--- a/control/takeover.go
+++ b/control/takeover.go
@@ -234,7 +234,7 @@
 // isSuperseded reports whether another generation with the own address is known to
 // receive nothing there any more.
 func (c *Core) isSuperseded(now time.Time, row *routes.MemberRow) bool {
-	if storage.TimelineOf(row.Version) < c.timeline && now.Sub(c.enteredAt) < predecessorReadTime {
+	if c.isBehind(row.Generation) && now.Sub(c.enteredAt) < predecessorReadTime {
 		return false
 	}
 	if c.faults.NoPredecessorWait || c.exclusiveAddress {
@@ -252,7 +252,7 @@
 // earlier timeline is not owned in the present one.
 func (c *Core) rowToClose(m *routes.MemberRow) wire.Member {
 	row := m.Member
-	if storage.TimelineOf(m.Version) < c.timeline {
+	if c.isBehind(m.Generation) {
 		row.Claims, row.ReleasedSlots = nil, nil
 	}
 	return row
@@ -269,7 +269,7 @@
 	}
 	const reason = "its successor has held its address since"
 	var witnesses []wire.Generation
-	if c.exclusiveAddress && storage.TimelineOf(row.Version) < c.timeline {
+	if c.exclusiveAddress && c.isBehind(row.Generation) {
 		witnesses = row.Witnesses
 	}
 	tx, err := lease.Closing{
--- a/control/timeline.go
+++ b/control/timeline.go
@@ -192,7 +192,7 @@
 func (c *Core) claimants(count uint32) (claimed map[uint32]wire.Generation, all bool) {
 	claimed = make(map[uint32]wire.Generation, count)
 	for _, m := range c.view.Members() {
-		if m.Service != c.self.Service || storage.TimelineOf(m.Version) != c.timeline || len(m.Claims) == 0 {
+		if m.Service != c.self.Service || c.isBehind(m.Generation) || len(m.Claims) == 0 {
 			continue
 		}
 		for slot := range count {
