review: pass the linter under the build tag, and look for free ports

Cause: four findings of the linter, and fixed ports on a network that was only drawn. Change: review/standin; no case judges otherwise than before.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -50,7 +52,6 @@
 const (
 	portPeer     = 17600
 	portControl  = 18620
-	portInbound  = 18624
 	portReady    = 18625
 	portApp      = 18628
 	portOutbound = 18629
@@ -108,8 +109,10 @@
 	log      *record
 	store    *store
 	machines []*machine
-	stop     chan struct{}
-	wg       sync.WaitGroup
+	// transport is that of all clients.
+	transport *http.Transport
+	stop      chan struct{}
+	wg        sync.WaitGroup
 
 	mu      sync.Mutex
 	answers map[string]answer
@@ -130,11 +133,13 @@
 
 // newFleet starts the store, the daemons and their upstreams.
 func newFleet(log *record, folder string, work time.Duration, sharded map[string]bool, sites ...site) (*fleet, error) {
-	f := &fleet{log: log, stop: make(chan struct{}), answers: make(map[string]answer)}
+	f := &fleet{log: log, transport: newTransport(), stop: make(chan struct{}), answers: make(map[string]answer)}
 	// A network of loopback addresses that other runs do not use.
-	network := fmt.Sprintf("127.%d.%d", 50+rand.N(150), 1+rand.N(250))
-	var err error
-	if f.store, err = newStore(network + ".250:18627"); err != nil {
+	network, err := freeNetwork(len(sites))
+	if err != nil {
+		return nil, err
+	}
+	if f.store, err = newStore(fmt.Sprintf("%s.250:%d", network, portStore)); err != nil {
 		return nil, err
 	}
 	template, err := os.ReadFile("deploy/settings.json")
@@ -170,6 +175,39 @@
 	return f, nil
 }
 
+// portStore and portMetrics are the ports of the store, and of the metrics by the deploy file.
+const (
+	portStore   = 18627
+	portMetrics = 9464
+)
+
+// freeNetwork returns the first three numbers of loopback addresses at which all ports of that
+// many machines and of the store are free.
+func freeNetwork(machines int) (string, error) {
+	for range 50 {
+		network := fmt.Sprintf("127.%d.%d", 50+rand.N(150), 1+rand.N(250))
+		addresses := []string{fmt.Sprintf("%s.250:%d", network, portStore)}
+		for i := range machines {
+			for _, port := range []int{portPeer, portControl, portReady, portApp, portOutbound, portMetrics} {
+				addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, i+1, port))
+			}
+		}
+		if !slices.ContainsFunc(addresses, inUse) {
+			return network, nil
+		}
+	}
+	return "", errors.New("no loopback network with free ports")
+}
+
+func inUse(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return true
+	}
+	_ = l.Close()
+	return false
+}
+
 // render fills in the template of the deploy file as the platform does.
 func render(template string, m *machine, store string) string {
 	values := map[string]string{
@@ -247,9 +285,12 @@
 	}()
 }
 
-var clientTransport = &http.Transport{
-	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true,
-	IdleConnTimeout: 20 * time.Second,
+// newTransport returns the transport of the clients, which keep their connections.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 64, DisableCompression: true,
+		IdleConnTimeout: 20 * time.Second,
+	}
 }
 
 // request sends one request and records its end.
@@ -272,7 +313,7 @@
 	}
 	a := answer{sent: time.Now()}
 	f.log.line("client at %s sends %s", m.name, id)
-	resp, err := (&http.Client{Transport: clientTransport, Timeout: 4 * time.Second}).Do(req)
+	resp, err := (&http.Client{Transport: f.transport, Timeout: 4 * time.Second}).Do(req)
 	if err == nil {
 		_, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -55,7 +55,7 @@
 		}
 		time.Sleep(leaveRetry)
 	}
-	return time.Time{}, errors.New("Deregister was not acknowledged for 10 s")
+	return time.Time{}, errors.New("no acknowledgement of Deregister within 10 s")
 }
 
 // judgeLeave lets the upstream serve on and end, and judges DRAIN: no request may reach it later
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,13 +20,19 @@
 	drainTime   = 2 * time.Second
 )
 
-var cases = map[string]func(log *record, folder string, trouble bool) (int, error){
-	"deregister-first": deregisterFirst,
-	"kill-after-ack":   killAfterAck,
+// caseNamed returns the function that plays a case; nil if there is none of that name.
+func caseNamed(name string) func(log *record, folder string, trouble bool) (int, error) {
+	switch name {
+	case "deregister-first":
+		return deregisterFirst
+	case "kill-after-ack":
+		return killAfterAck
+	}
+	return nil
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || caseNamed(os.Args[1]) == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(exitFailed)
 	}
@@ -41,7 +47,7 @@
 		os.Exit(exitFailed)
 	}
 	log := &record{began: time.Now(), out: out}
-	code, err := cases[os.Args[1]](log, folder, os.Getenv("TROUBLE") != "0")
+	code, err := caseNamed(os.Args[1])(log, folder, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		log.line("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -32,7 +32,6 @@
 	version uint64
 	rows    map[rowName]platformwire.Row
 	changed chan struct{}
-	silent  bool
 }
 
 func newStore(address string) (*store, error) {
@@ -45,25 +44,7 @@
 	return s, nil
 }
 
-// setSilent makes the store stop or start answering.
-func (s *store) setSilent(silent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent = silent
-}
-
-func (s *store) isSilent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.silent
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.isSilent() {
-		// Nothing is done, and nothing is answered.
-		<-r.Context().Done()
-		return
-	}
 	time.Sleep(answerTime)
 	w.Header().Set("Store-Era", "1")
 	switch r.URL.Path {
@@ -183,10 +164,6 @@
 			}
 		}
 		s.mu.Unlock()
-		if s.isSilent() {
-			<-r.Context().Done()
-			return
-		}
 		slices.SortFunc(out.Rows, func(a, b platformwire.Row) int { return int(a.Version) - int(b.Version) })
 		if len(out.Rows) > 0 {
 			writeMessage(w, http.StatusOK, out)
