--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -186,7 +186,8 @@
 func freeNetwork(machines int) (string, error) {
 	for range 50 {
 		network := fmt.Sprintf("127.%d.%d", 50+rand.N(150), 1+rand.N(250))
-		addresses := []string{fmt.Sprintf("%s.250:%d", network, portStore)}
+		addresses := make([]string, 0, 1+6*machines)
+		addresses = append(addresses, fmt.Sprintf("%s.250:%d", network, portStore))
 		for i := range machines {
 			for _, port := range []int{portPeer, portControl, portReady, portApp, portOutbound, portMetrics} {
 				addresses = append(addresses, fmt.Sprintf("%s.%d:%d", network, i+1, port))
