daemon: a leave that comes before the first beat of a new process is kept

Cause: the name in the message was compared with that of the last heartbeat. A new process has had none, so it dropped the message and answered 200. The next heartbeat (its state is "ready", since such a target never drains) then made the target one that takes work.

Change: departures are kept as a set of processes, and each process that is met is looked up there. The message bears no start time: before the first beat it is taken for any process of the name that starts until the drain limit is over, since the target serves for as long at least. A name that is not that of the target that is met is no longer acknowledged: nothing would follow from it, and the next process of the target may be meant. All rows of the instance count at a start, not the one of the latest join alone.

Ruled out: to acknowledge only after the first beat. A target may send none after it has said that it leaves.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,10 +13,8 @@
 	"fulmarrun/control"
 	"fulmarrun/grants"
 	"fulmarrun/logs"
-	"fulmarrun/routes"
 	"fulmarrun/storage"
 	"fulmarrun/targethttp"
-	"fulmarrun/wire"
 )
 
 const (
@@ -65,75 +62,13 @@
 	return answer, nil
 }
 
-// TargetDeparted records that the target process with the given name leaves for good.
-func (d *Daemon) TargetDeparted(name string) {
-	f := d.fetchedGrants
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.beat.Name == name {
-		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
-	}
-}
-
-// targetLeaves records that a process of the target states in its answers that it leaves,
-// and that the first such answer was received that long ago.
-func (d *Daemon) targetLeaves(process string, age time.Duration) {
-	f := d.fetchedGrants
-	if f == nil {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.beat.String() == process {
-		d.closeDeparted("the target's answers say that it leaves", f.drainLimit-drainMargin-age)
-	}
-}
-
-// closeDeparted records that the current process of the target leaves for good, and sends
-// it no more work after the delay. The caller holds the lock.
-func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
-	f := d.fetchedGrants
-	f.departed, f.departedTarget, f.departedKnownFrom = true, f.beat.String(), time.Time{}
-	d.drainTarget(reason, delay)
-	d.publishTargetState(reason)
-}
-
-// loadDepartedTarget restores the last departed target process from the member rows
-// that earlier processes of this instance wrote.
-func (d *Daemon) loadDepartedTarget(rows []wire.Row) {
-	if d.fetchedGrants == nil {
-		return
-	}
-	f := d.fetchedGrants
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.departedTarget != "" && f.departedKnownFrom.IsZero() {
-		return
-	}
-	for _, r := range rows {
-		var m wire.Member
-		if r.Deleted || !strings.HasPrefix(r.Key, routes.MemberPrefix) || wire.Decode(r.Value, &m) != nil {
-			// Rows that can't be decoded are logged where rows are applied.
-			continue
-		}
-		if m.Instance == d.settings.Instance && m.DepartedTarget != "" && !m.Joined.Before(f.departedKnownFrom) {
-			f.departedTarget, f.departedKnownFrom = m.DepartedTarget, m.Joined
-		}
-	}
-	if !f.lastBeatAt.IsZero() && f.beat.String() == f.departedTarget && !f.departed {
-		f.departed = true
-		d.drainTarget("the target had left", 0)
-		d.publishTargetState("the target had left")
-	}
-}
-
 // updateTarget records the current target process and its state. The caller holds the
 // lock.
 func (d *Daemon) updateTarget(now time.Time, beat grants.Beat) {
 	f := d.fetchedGrants
 	previous := f.beat
 	if previous.Process != beat.Process {
-		f.departed = beat.String() == f.departedTarget
+		f.departed = f.departures.contain(beat.Process)
 		d.resetCondition(beat.String())
 		d.log.Info(logs.EventNewTarget, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
@@ -204,7 +139,7 @@
 // caller holds the lock.
 func (d *Daemon) publishTargetState(reason string) {
 	if i := d.current.Load(); i != nil {
-		i.tryPost(control.TargetChanged{Idle: d.fetchedGrants.idle, DepartedTarget: d.fetchedGrants.departedTarget, Reason: reason})
+		i.tryPost(control.TargetChanged{Idle: d.fetchedGrants.idle, DepartedTarget: d.fetchedGrants.lastDeparture, Reason: reason})
 	}
 }
 
@@ -218,7 +153,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i.tryPost(control.TargetChanged{Idle: f.idle, DepartedTarget: f.departedTarget, Reason: "as it is at the start"})
+	i.tryPost(control.TargetChanged{Idle: f.idle, DepartedTarget: f.lastDeparture, Reason: "as it is at the start"})
 }
 
 // watchAbsence marks the target idle once it has sent no beat for absenceTimeout.
--- /dev/null
+++ b/daemon/departure.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fulmarrun/grants"
+	"fulmarrun/routes"
+	"fulmarrun/wire"
+)
+
+// ErrUnknownTarget is returned for a notice of departure that names no process of the target
+// beside the daemon.
+var ErrUnknownTarget = errors.New("not the target of this daemon")
+
+// departures are the target processes beside the daemon that are known to leave for good: for
+// each name, when the last of them started. Earlier processes of the name have left as well.
+type departures map[string]time.Time
+
+func (d departures) add(p grants.Process) {
+	if started, known := d[p.Name]; !known || started.Before(p.Started) {
+		d[p.Name] = p.Started
+	}
+}
+
+func (d departures) contain(p grants.Process) bool {
+	started, known := d[p.Name]
+	return known && !p.Started.After(started)
+}
+
+// TargetDeparted records that the target process with the given name leaves for good.
+func (d *Daemon) TargetDeparted(name string) error {
+	f := d.fetchedGrants
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.beat.Name == name:
+		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
+	case f.lastBeatAt.IsZero():
+		// An earlier process of the daemon has met the target. It serves at least for the drain
+		// limit from now on, so that its next process can't have started by then.
+		d.addDeparture(grants.Process{Name: name, Started: time.Now().Add(f.drainLimit)})
+		d.publishTargetState("the target leaves")
+	default:
+		return ErrUnknownTarget
+	}
+	return nil
+}
+
+// targetLeaves records that a process of the target states in its answers that it leaves,
+// and that the first such answer was received that long ago.
+func (d *Daemon) targetLeaves(process string, age time.Duration) {
+	f := d.fetchedGrants
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.beat.String() == process {
+		d.closeDeparted("the target's answers say that it leaves", f.drainLimit-drainMargin-age)
+	}
+}
+
+// addDeparture records a process that the target has announced to leave. The caller holds the
+// lock.
+func (d *Daemon) addDeparture(p grants.Process) {
+	f := d.fetchedGrants
+	f.departures.add(p)
+	f.lastDeparture = p.String()
+}
+
+// closeDeparted records that the current process of the target leaves for good, and sends
+// it no more work after the delay. The caller holds the lock.
+func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
+	f := d.fetchedGrants
+	f.departed = true
+	d.addDeparture(f.beat.Process)
+	d.drainTarget(reason, delay)
+	d.publishTargetState(reason)
+}
+
+// loadDepartures restores the departed target processes from the member rows that earlier
+// processes of this instance wrote.
+func (d *Daemon) loadDepartures(rows []wire.Row) {
+	f := d.fetchedGrants
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range rows {
+		var m wire.Member
+		if r.Deleted || !strings.HasPrefix(r.Key, routes.MemberPrefix) || wire.Decode(r.Value, &m) != nil {
+			// Rows that can't be decoded are logged where rows are applied.
+			continue
+		}
+		if m.Instance != d.settings.Instance {
+			continue
+		}
+		if p, ok := grants.ParseProcess(m.DepartedTarget); ok {
+			f.departures.add(p)
+		}
+	}
+	if !f.lastBeatAt.IsZero() && !f.departed && f.departures.contain(f.beat.Process) {
+		d.closeDeparted("the target had left", 0)
+	}
+}
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -34,14 +34,12 @@
 	// beat is the last beat that was not stale, and lastBeatAt is when it was received.
 	beat       grants.Beat
 	lastBeatAt time.Time
-	// departed is true once the current target process has said that it leaves for good.
-	// departedTarget names the last process that did; an earlier process of the daemon may
-	// have received that notice.
-	departed       bool
-	departedTarget string
-	// departedKnownFrom is when the generation joined whose row departedTarget was read from;
-	// zero if the target itself told it to this process.
-	departedKnownFrom time.Time
+	// departed is true once the current target process is known to leave for good.
+	departed   bool
+	departures departures
+	// lastDeparture identifies the process that this daemon was last told of that it leaves,
+	// by the target itself.
+	lastDeparture string
 	// draining is true after the target process says that it drains or leaves, until it or
 	// another process accepts work.
 	draining   bool
@@ -81,7 +79,7 @@
 }
 
 func newFetchedGrants(opts []FetchOption) *fetchedGrants {
-	f := &fetchedGrants{idle: true, drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit}
+	f := &fetchedGrants{idle: true, departures: make(departures), drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/grants/beat.go
+++ b/grants/beat.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -16,6 +18,19 @@
 // String returns the identifier of the process that is stored in rows.
 func (l Process) String() string { return fmt.Sprintf("%s/%d", l.Name, l.Started.UnixMilli()) }
 
+// ParseProcess parses an identifier that Process.String has returned.
+func ParseProcess(text string) (p Process, ok bool) {
+	slash := strings.LastIndexByte(text, '/')
+	if slash < 0 {
+		return Process{}, false
+	}
+	started, err := strconv.ParseInt(text[slash+1:], 10, 64)
+	if err != nil {
+		return Process{}, false
+	}
+	return Process{Name: text[:slash], Started: time.UnixMilli(started)}, true
+}
+
 // Range is an interval of keys, including both ends.
 type Range struct {
 	First uint32
--- a/logs/events.go
+++ b/logs/events.go
@@ -45,6 +45,7 @@
 	EventTargetSilent    = "target not heard of"
 	EventGrantTooLarge   = "no room to grant all slots"
 	EventBeatRefused     = "beat refused"
+	EventLeaveRefused    = "leave refused"
 	EventBeatOutdated    = "beat overtaken"
 
 	EventConfigRead         = "configuration read"
