daemon: a leave is acknowledged once the platform has stored it

What callers saw: a daemon that was killed right after it had acknowledged that its target leaves for good forgot it.

Cause: the answer 200 was sent as soon as the fact was in memory, and a write of the member row had been asked for without waiting for it. That row is all that the next process learns it from.

Change: the answer waits until the control state has seen its own member row with the departure in the table, for 800 ms at most; targets discard an answer that takes a second. Without it the answer is 503 and promises nothing; the target is sent no more work all the same, and the write goes on, so that a repeated message is acknowledged at once. While the store is away no leave is acknowledged, and the target ends when it likes.

Ruled out: a copy at other daemons in place of the store. A daemon that starts knows nobody before it has read the store, and what has to last goes there.

Test: TestLeaveForgottenAfterAcknowledgement of package platform ends the daemon while the store accepts no changes; without the wait "requests reached a target that had left".

--- a/control/core.go
+++ b/control/core.go
@@ -186,6 +186,15 @@
 // Self returns the latest known version of the generation's own member row.
 func (c *Core) Self() wire.Member { return c.self }
 
+// StoredDeparture returns the target process that left last according to the generation's own
+// member row in the present timeline; empty if none has, or if the row is not stored yet.
+func (c *Core) StoredDeparture() string {
+	if !c.joined || !c.registered() {
+		return ""
+	}
+	return c.self.DepartedTarget
+}
+
 // Step applies one message and returns the effects to carry out. The slice is valid
 // until the next call.
 func (c *Core) Step(now time.Time, message Message) []Effect {
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -15,6 +17,14 @@
 // beside the daemon.
 var ErrUnknownTarget = errors.New("not the target of this daemon")
 
+// storeTimeout bounds the wait for the platform to store that a target process leaves. Targets
+// discard an answer that takes a second.
+const storeTimeout = 800 * time.Millisecond
+
+// ErrNotStored is returned if the platform has not stored yet that a target process leaves. The
+// target is sent no more work all the same.
+var ErrNotStored = errors.New("departure of the target is not stored yet")
+
 // departures are the target processes beside the daemon that are known to leave for good: for
 // each name, when the last of them started. Earlier processes of the name have left as well.
 type departures map[string]time.Time
@@ -30,25 +40,71 @@
 	return known && !p.Started.After(started)
 }
 
-// TargetDeparted records that the target process with the given name leaves for good.
-func (d *Daemon) TargetDeparted(name string) error {
+// TargetDeparted records that the target process with the given name leaves for good. It returns
+// nil once that is stored at the platform, since the next process of the daemon has to know.
+func (d *Daemon) TargetDeparted(ctx context.Context, name string) error {
+	departed, err := d.recordDeparture(name)
+	if err != nil {
+		return err
+	}
+	return d.awaitStored(ctx, departed)
+}
+
+// recordDeparture records that the target process with the given name leaves for good, and
+// returns the process.
+func (d *Daemon) recordDeparture(name string) (grants.Process, error) {
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case f.beat.Name == name:
 		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
+		return f.beat.Process, nil
 	case f.lastBeatAt.IsZero():
-		// An earlier process of the daemon has met the target. It serves at least for the drain
-		// limit from now on, so that its next process can't have started by then.
-		d.addDeparture(grants.Process{Name: name, Started: time.Now().Add(f.drainLimit)})
+		departed, repeated := grants.ParseProcess(f.lastDeparture)
+		if !repeated || departed.Name != name {
+			// An earlier process of the daemon has met the target. It serves at least for the drain
+			// limit from now on, so that its next process can't have started by then.
+			departed = grants.Process{Name: name, Started: time.Now().Add(f.drainLimit).Truncate(time.Millisecond)}
+		}
+		d.addDeparture(departed)
 		d.publishTargetState("the target leaves")
+		return departed, nil
 	default:
-		return ErrUnknownTarget
+		return grants.Process{}, ErrUnknownTarget
+	}
+}
+
+// awaitStored waits until the platform has stored that a target process leaves.
+func (d *Daemon) awaitStored(ctx context.Context, departed grants.Process) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	f := d.fetchedGrants
+	stored := waitUntil(ctx, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.storedDepartures.contain(departed)
+	})
+	if !stored {
+		return fmt.Errorf("target %s: %w", departed, ErrNotStored)
 	}
 	return nil
 }
 
+// recordStoredDeparture records the departure in the member row that is stored at the platform.
+func (i *incarnation) recordStoredDeparture() {
+	f, departed := i.d.fetchedGrants, i.core.StoredDeparture()
+	if f == nil || departed == i.storedDeparture {
+		return
+	}
+	i.storedDeparture = departed
+	if p, ok := grants.ParseProcess(departed); ok {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.storedDepartures.add(p)
+	}
+}
+
 // targetLeaves records that a process of the target states in its answers that it leaves,
 // and that the first such answer was received that long ago.
 func (d *Daemon) targetLeaves(process string, age time.Duration) {
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -40,6 +40,8 @@
 	// lastDeparture identifies the process that this daemon was last told of that it leaves,
 	// by the target itself.
 	lastDeparture string
+	// storedDepartures are those that a member row at the platform contains.
+	storedDepartures departures
 	// draining is true after the target process says that it drains or leaves, until it or
 	// another process accepts work.
 	draining   bool
@@ -79,7 +81,10 @@
 }
 
 func newFetchedGrants(opts []FetchOption) *fetchedGrants {
-	f := &fetchedGrants{idle: true, departures: make(departures), drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit}
+	f := &fetchedGrants{
+		idle: true, departures: make(departures), storedDepartures: make(departures),
+		drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit,
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -58,6 +58,8 @@
 	closed bool
 	// left is true once a planned leave has completed or its drain limit is over.
 	left bool
+	// storedDeparture is the departure that was last seen in the stored member row.
+	storedDeparture string
 	// targetRestarted is true if the generation ends because its target has restarted.
 	targetRestarted bool
 	// joined is true once publish has first handled a snapshot with the known members. It
@@ -225,6 +227,7 @@
 		m = loaded.ConfigLoaded
 	}
 	effects := i.core.Step(now, m)
+	i.recordStoredDeparture()
 	for _, e := range effects {
 		i.runEffect(e)
 	}
