daemon: that a target drains is acknowledged once it is stored

The target got work again, later than the drain limit, until its next heartbeat.

It went unseen since a target repeats that it drains.

Change: that a target drains is recorded as a departure, in the same write of the member row that makes it idle, so that it costs no call more; the heartbeat is answered once that is stored, with 503 until then. A process that drains takes no work again: nothing on the pages takes a drain back.

Ruled out: to open a target only after two heartbeats of a new process. Two may be delayed as well as one.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -32,34 +32,52 @@
 var ErrWrongService = errors.New("beat of another service")
 
 // Beat applies a beat that the target beside the daemon sent and that was received at
-// now, and returns the slots that the target is to hold.
-func (d *Daemon) Beat(now time.Time, beat grants.Beat) (grants.Answer, error) {
+// now, and returns the slots that the target is to hold. The beat of a target that drains is
+// answered once that is stored at the platform, since the next process of the daemon has to
+// know: the first beat that it receives may be a delayed one.
+func (d *Daemon) Beat(ctx context.Context, now time.Time, beat grants.Beat) (grants.Answer, error) {
 	if beat.Service != d.settings.Service {
 		return grants.Answer{}, fmt.Errorf("service %q: %w", beat.Service, ErrWrongService)
 	}
+	answer, current := d.applyBeat(now, beat)
+	if !beat.Draining || !current {
+		return answer, nil
+	}
+	if err := d.awaitStored(ctx, beat.Process); err != nil {
+		return grants.Answer{}, err
+	}
+	return answer, nil
+}
+
+// applyBeat applies a beat, and reports whether it is of the current process of the target.
+func (d *Daemon) applyBeat(now time.Time, beat grants.Beat) (answer grants.Answer, current bool) {
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch f.table.Classify(&beat) {
 	case grants.Stale:
 		d.log.Debug(logs.EventBeatOutdated, logs.FieldTarget, beat.Name, logs.FieldSequence, beat.Sequence)
-		return grants.Answer{}, nil
+		current = beat.Process == f.beat.Process
+		if current && beat.Draining {
+			d.closeDeparted("the target drains", f.drainLimit-drainMargin)
+		}
+		return grants.Answer{}, current
 	case grants.Restarted:
 		d.updateTarget(now, beat)
 		d.restartGeneration("its target has started anew")
-		return grants.Answer{}, nil
+		return grants.Answer{}, true
 	case grants.Current:
 	}
 	d.updateTarget(now, beat)
 	f.table.SetRequestTime(d.gate.Stats().Latency)
-	answer := f.table.Beat(now, &beat, d.server.LeaseUntil())
+	answer = f.table.Beat(now, &beat, d.server.LeaseUntil())
 	if s, ok := d.service(); !ok || !s.Ranged {
-		return grants.Answer{}, nil
+		return grants.Answer{}, true
 	}
 	if answer.Omitted > 0 {
 		d.logStateChange(logs.EventGrantTooLarge, "", logs.FieldSlots, answer.Omitted)
 	}
-	return answer, nil
+	return answer, true
 }
 
 // updateTarget records the current target process and its state. The caller holds the
@@ -83,9 +101,9 @@
 	case (beat.Draining || f.departed) && previous.Process != beat.Process:
 		// An earlier process of the daemon may have received the drain notice long ago, so
 		// the drain limit may already be over.
-		d.drainTarget("the target drains", 0)
+		d.closeDeparted("the target drains", 0)
 	case beat.Draining:
-		d.drainTarget("the target drains", f.drainLimit-drainMargin)
+		d.closeDeparted("the target drains", f.drainLimit-drainMargin)
 	case !f.departed:
 		f.draining = false
 		d.gate.Report(admission.Health{Draining: f.domainClosed})
--- a/daemon/condition_test.go
+++ b/daemon/condition_test.go
@@ -21,7 +21,7 @@
 			Process: grants.Process{Name: "i-1", Started: time.UnixMilli(1000)}, Sequence: 1,
 			Address: netip.MustParseAddrPort("127.0.0.1:9"), Service: "agenda", Slots: 4,
 		}
-		if _, err := d.Beat(clock.Now(), beat); err != nil {
+		if _, err := d.Beat(t.Context(), clock.Now(), beat); err != nil {
 			t.Fatal(err)
 		}
 		for _, age := range ages {
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -25,8 +25,9 @@
 // target is sent no more work all the same.
 var ErrNotStored = errors.New("departure of the target is not stored yet")
 
-// departures are the target processes beside the daemon that are known to leave for good: for
-// each name, when the last of them started. Earlier processes of the name have left as well.
+// departures are the target processes beside the daemon that are known to drain or to leave for
+// good: for each name, when the last of them started. Earlier processes of the name have left as
+// well.
 type departures map[string]time.Time
 
 func (d departures) add(p grants.Process) {
@@ -127,8 +128,8 @@
 	f.lastDeparture = p.String()
 }
 
-// closeDeparted records that the current process of the target leaves for good, and sends
-// it no more work after the delay. The caller holds the lock.
+// closeDeparted records that the current process of the target drains or leaves for good, and
+// sends it no more work after the delay. The caller holds the lock.
 func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
 	f := d.fetchedGrants
 	f.departed = true
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -34,7 +34,7 @@
 	// beat is the last beat that was not stale, and lastBeatAt is when it was received.
 	beat       grants.Beat
 	lastBeatAt time.Time
-	// departed is true once the current target process is known to leave for good.
+	// departed is true once the current target process is known to drain or to leave for good.
 	departed   bool
 	departures departures
 	// lastDeparture identifies the process that this daemon was last told of that it leaves,
