daemon: a new process sends its target nothing before it has read the table

What targets could see: a daemon that had acknowledged a leave was started anew while the store was away, and other daemons had not heard of the leave (its process ended right after the acknowledgement). It sent the target what they forwarded, until the store came back.

Cause: the target was opened by its first heartbeat, although the rows that tell what earlier processes have acknowledged had not been read. A daemon that has read nothing is not ready for its own callers, but forwarded requests without a key were served.

Change: the target stays idle, and nothing is sent to it, until all rows were read once in the life of the process. Senders get "draining" and choose another daemon. With the store up this is done before the first heartbeat; a daemon that is killed during an outage of the store now serves unkeyed requests again when the store is back, not before.

Ruled out: to ask other daemons. They know no more than that what they have heard of, and the one that starts knows none of them.

--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"fulmarrun/admission"
 	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/control"
@@ -105,9 +104,7 @@
 	case beat.Draining:
 		d.closeDeparted("the target drains", f.drainLimit-drainMargin)
 	case !f.departed:
-		f.draining = false
-		d.gate.Report(admission.Health{Draining: f.domainClosed})
-		d.setIdle(false, "the target is there")
+		d.openTarget()
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -178,6 +178,8 @@
 	d.client = targethttp.NewClient(append(clientOptions,
 		targethttp.WithSendCheck(d.checkSend), targethttp.WithConditionObserver(d.observeCondition))...)
 	d.server.SetClient(d.client)
+	// The target is idle until it is known to take work.
+	d.server.RefuseUnkeyed(d.fetchedGrants != nil)
 	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.addAuditEntry))
 	d.configCache = newConfigCache(d.store, d.peers)
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/admission"
 	"fulmarrun/grants"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
@@ -139,8 +140,8 @@
 }
 
 // loadDepartures restores the departed target processes from the member rows that earlier
-// processes of this instance wrote.
-func (d *Daemon) loadDepartures(rows []wire.Row) {
+// processes of this instance wrote. all is true if those are all rows of the platform.
+func (d *Daemon) loadDepartures(rows []wire.Row, all bool) {
 	f := d.fetchedGrants
 	if f == nil {
 		return
@@ -160,7 +161,24 @@
 			f.departures.add(p)
 		}
 	}
-	if !f.lastBeatAt.IsZero() && !f.departed && f.departures.contain(f.beat.Process) {
+	f.departuresLoaded = f.departuresLoaded || all
+	switch {
+	case f.lastBeatAt.IsZero() || f.departed:
+	case f.departures.contain(f.beat.Process):
 		d.closeDeparted("the target had left", 0)
+	default:
+		d.openTarget()
+	}
+}
+
+// openTarget lets the target receive work, unless an earlier process of the daemon may have
+// acknowledged that it leaves. The caller holds the lock.
+func (d *Daemon) openTarget() {
+	f := d.fetchedGrants
+	if !f.departuresLoaded {
+		return
 	}
+	f.draining = false
+	d.gate.Report(admission.Health{Draining: f.domainClosed})
+	d.setIdle(false, "the target is there")
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -54,9 +54,10 @@
 	return d.server.CheckFence(fence)
 }
 
-// isClosed reports whether a target that drains or leaves may be sent no more work.
+// isClosed reports whether the target may be sent no work, since it drains or leaves, or since
+// an earlier process of the daemon may know that it does.
 func (f *fetchedGrants) isClosed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.draining && !clock.Now().Before(f.closesAt)
+	return !f.departuresLoaded || f.draining && !clock.Now().Before(f.closesAt)
 }
--- a/daemon/effects.go
+++ b/daemon/effects.go
@@ -63,7 +63,7 @@
 	case control.RowSkipped:
 		i.d.log.Warn(logs.EventRowSkipped, logs.FieldKey, e.Key, logs.FieldErr, e.Err)
 	case control.PredecessorFound:
-		i.d.loadDepartures([]wire.Row{e.Row})
+		i.d.loadDepartures([]wire.Row{e.Row}, false)
 	case control.Closed:
 		i.closed = true
 		i.d.log.Warn(logs.EventClosedByPeer, logs.FieldGeneration, i.self.Generation, logs.FieldReason, e.Reason)
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -37,6 +37,9 @@
 	// departed is true once the current target process is known to drain or to leave for good.
 	departed   bool
 	departures departures
+	// departuresLoaded is true once what earlier processes of the daemon have recorded was read
+	// from the platform.
+	departuresLoaded bool
 	// lastDeparture identifies the process that this daemon was last told of that it leaves,
 	// by the target itself.
 	lastDeparture string
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -124,7 +124,7 @@
 	i.publish()
 	i.spawn(func(ctx context.Context) {
 		i.loadRows(ctx, func(rows []wire.Row, timeline uint64) control.Message {
-			i.d.loadDepartures(rows)
+			i.d.loadDepartures(rows, true)
 			return control.RowsLoaded{Rows: rows, Timeline: timeline, Wall: time.Now()}
 		})
 	})
