daemon, platform: a late leave of an earlier process takes out no other one

Cause: the name alone was compared. All that a target says of itself bears when it started, but the body of this message was not read.

Change: the start in the body, where there is one, decides which process leaves; one that is not met yet is recorded as well.

--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -42,39 +42,48 @@
 	return known && !p.Started.After(started)
 }
 
-// TargetDeparted records that the target process with the given name leaves for good. It returns
-// nil once that is stored at the platform, since the next process of the daemon has to know.
-func (d *Daemon) TargetDeparted(ctx context.Context, name string) error {
-	departed, err := d.recordDeparture(name)
+// TargetDeparted records that a process of the target leaves for good; its start is zero if it is
+// not known. TargetDeparted returns nil once that is stored at the platform, since the next
+// process of the daemon has to know.
+func (d *Daemon) TargetDeparted(ctx context.Context, p grants.Process) error {
+	departed, err := d.recordDeparture(p)
 	if err != nil {
 		return err
 	}
 	return d.awaitStored(ctx, departed)
 }
 
-// recordDeparture records that the target process with the given name leaves for good, and
-// returns the process.
-func (d *Daemon) recordDeparture(name string) (grants.Process, error) {
+// recordDeparture records that a process of the target leaves for good, and returns the process
+// with its start.
+func (d *Daemon) recordDeparture(p grants.Process) (grants.Process, error) {
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	current, met := f.beat.Process, !f.lastBeatAt.IsZero()
 	switch {
-	case f.beat.Name == name:
+	case met && p.Name == current.Name && (p.Started.IsZero() || p.Started.Equal(current.Started)):
 		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
-		return f.beat.Process, nil
-	case f.lastBeatAt.IsZero():
-		departed, repeated := grants.ParseProcess(f.lastDeparture)
-		if !repeated || departed.Name != name {
-			// An earlier process of the daemon has met the target. It serves at least for the drain
-			// limit from now on, so that its next process can't have started by then.
-			departed = grants.Process{Name: name, Started: time.Now().Add(f.drainLimit).Truncate(time.Millisecond)}
-		}
-		d.addDeparture(departed)
-		d.publishTargetState("the target leaves")
-		return departed, nil
+		return current, nil
+	case !met && p.Started.IsZero():
+		p = f.unmetDeparture(p.Name)
+	case p.Started.After(current.Started):
 	default:
-		return grants.Process{}, ErrUnknownTarget
+		return grants.Process{}, fmt.Errorf("process %s: %w", p, ErrUnknownTarget)
+	}
+	d.addDeparture(p)
+	d.publishTargetState("the target leaves")
+	return p, nil
+}
+
+// unmetDeparture returns the process of a target that leaves if only its name is known. The
+// caller holds the lock.
+func (f *fetchedGrants) unmetDeparture(name string) grants.Process {
+	if last, ok := grants.ParseProcess(f.lastDeparture); ok && last.Name == name {
+		return last
 	}
+	// An earlier process of the daemon has met the target. It serves at least for the drain limit
+	// from now on, so that its next process can't have started by then.
+	return grants.Process{Name: name, Started: time.Now().Add(f.drainLimit).Truncate(time.Millisecond)}
 }
 
 // awaitStored waits until the platform has stored that a target process leaves.
