targethttp: a refusal counts only if it names its request

What callers could see: a faulty target writes an earlier refusal once more on a kept connection, after the next request was sent. That caller was told "not run" (503) of a request that the target was running, and a caller that came back, or a second try, ran it again (a report of other operators of like systems).

Cause: an answer with the ID of another request ends the connection, but one without an ID was taken if it refuses (421, or marked as not run). A copy of such a refusal fits any request.

Change: a refusal without the ID of its request says nothing: the outcome is unknown, and the connection is closed. It holds for the product's own targets too, whose stub did so already; the stand-ins of two packages' tests did not, and name it now.

Ruled out: to close the connection after a refusal without an ID. The copy may come before the close.

--- a/owner/policy_test.go
+++ b/owner/policy_test.go
@@ -45,7 +45,8 @@
 		t.Errorf("not granted: %+v after %d runs", r, d.runs.Load())
 	}
 	granted = true
-	d.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+	d.setHandler(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(targethttp.HeaderID, r.Header.Get(targethttp.HeaderID))
 		w.Header().Set(targethttp.HeaderFence, "epoch")
 		w.WriteHeader(targethttp.StatusFenced)
 	})
--- a/owner/server_test.go
+++ b/owner/server_test.go
@@ -188,7 +188,8 @@
 		}, wire.OutcomeUnknown, false, 0},
 		{"gate closed", "book", func(d *daemon, _ *wire.Request) { d.gate.Close() }, wire.OutcomeNotRun, false, 0},
 		{"fence rejected", "book", func(d *daemon, _ *wire.Request) {
-			d.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+			d.setHandler(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(targethttp.HeaderID, r.Header.Get(targethttp.HeaderID))
 				w.Header().Set(targethttp.HeaderFence, "epoch")
 				w.WriteHeader(targethttp.StatusFenced)
 			})
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -294,7 +294,7 @@
 	data, err := c.read(ctx, resp, r.Method, c.limit)
 	closeErr := resp.Body.Close()
 	info := c.dialect.Inspect(resp, *d)
-	if a.isCrossed() || info.ID != r.ID && (info.ID != "" || info.RequiresID) {
+	if a.isCrossed() || info.ID != r.ID && (info.ID != "" || info.RequiresID || info.RejectReason != "") {
 		a.closeConn()
 		return c.unknown(ctx, ReasonCrossed, errCrossed)
 	}
--- a/targethttp/dialect.go
+++ b/targethttp/dialect.go
@@ -33,7 +33,7 @@
 	// RequiresID is true if an answer without an ID is invalid.
 	RequiresID bool
 	// RejectReason is the reason that the target did not run the request; empty if it
-	// may have run it.
+	// may have run it. A rejection without an ID is invalid: it may be a copy of an earlier one.
 	RejectReason string
 	// Shed is true if the answer states that the target sheds load.
 	Shed bool
