targethttp: a request isn't repeated on the connection that refused it

What callers could see: a target denies a key (421), the request goes to the same target again once the key is granted, on the same kept connection, and the target writes the first refusal once more. It names the request, so the second try was taken for refused while it ran: the caller was told "not run", or the request ran again.

Cause: answers are told apart by the request's ID, and both tries have the same. Answers of one connection are in order, so that only an earlier try on the same connection can be confused with a later one.

Change: a connection keeps the IDs of the requests that were refused on it, 64 at most, after which it is closed. A repetition that is assigned such a connection is not written; the connection is closed, and another is taken.

Ruled out: to close the connection after each refusal. Targets that are full refuse most under load, when new connections cost them most.

--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -185,7 +185,7 @@
 	}
 	u.Scheme, u.Host = "http", d.Address.String()
 	for try := 1; ; try++ {
-		a := &attempt{}
+		a := &attempt{id: r.ID}
 		sentAt := time.Now()
 		if c.sendCheck != nil {
 			a.sendCheck = func() error { return c.sendCheck(f) }
@@ -264,6 +264,11 @@
 			if !c.setConn(a, tracked, info.Reused) {
 				cancel(errReplay)
 			}
+			if tracked.hasRefused(a.id) {
+				a.seal()
+				cancel(errRefusedID)
+				a.closeConn()
+			}
 		},
 		GotFirstResponseByte: a.noteAnswerStart,
 	}
@@ -307,6 +312,7 @@
 		c.observeCondition(*d, info.Condition, sentAt)
 	}
 	if info.RejectReason != "" {
+		a.noteRefusal()
 		return c.notRun(info.RejectReason, fmt.Errorf("target rejected the request with status %d", resp.StatusCode))
 	}
 	if err != nil {
--- a/targethttp/conn.go
+++ b/targethttp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -11,12 +12,18 @@
 	errFinished  = errors.New("write after the end of the request")
 	errEarlyData = errors.New("target sent data before the request was written")
 	errReplay    = errors.New("request was already sent on another connection")
+	errRefusedID = errors.New("target has already refused the request on this connection")
 )
 
+// maxRefusals is the number of refusals after which a connection is used no more.
+const maxRefusals = 64
+
 // attempt tracks what one request writes to the network. Only the connection that the
 // transport assigned last may write, and none may after another one wrote a byte.
 type attempt struct {
 	mu sync.Mutex
+	// id is the ID of the request.
+	id string
 	// sendCheck is called once, right before the first byte is written. checkErr is its
 	// error.
 	sendCheck func() error
@@ -125,11 +132,39 @@
 	}
 }
 
+// noteRefusal notes that the target refused the request. A later copy of that refusal on the same
+// connection could not be told from the answer to a repetition of the request.
+func (a *attempt) noteRefusal() {
+	a.mu.Lock()
+	c, id := a.conn, a.id
+	a.mu.Unlock()
+	if c != nil && !c.addRefusal(id) {
+		_ = c.Close()
+	}
+}
+
 // conn is a connection whose writes belong to one attempt at a time.
 type conn struct {
 	net.Conn
 	mu      sync.Mutex
 	attempt *attempt
+	// refused are the IDs of the requests that the target refused on the connection.
+	refused []string
+}
+
+// addRefusal records a request that was refused, and reports whether there is room for more.
+func (c *conn) addRefusal(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, id)
+	return len(c.refused) < maxRefusals
+}
+
+// hasRefused reports whether the target refused a request with the ID on the connection.
+func (c *conn) hasRefused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, id)
 }
 
 // setAttempt makes a the attempt that may write to the connection.
