routes: a row that another writer left ends no daemon

What happened: one row of slots that gives its service four billion slots made each daemon that read it allocate 240 GB and end, again at each start; with fewer slots than entries, or at the key of another row, it replaced what was known. A member row under another key stood for that member, or stayed when the member was deleted (a report of other operators of like systems: one odd entry, and "the machines that read the list ended again and again").

Cause: rows were decoded, but what they say was not compared with their key or with what a file may set.

Change: a row of slots has to lie at the key of its service and first slot, and to have at most the slots that a file may set and no more entries than those; a member row has to lie at the key of its generation. Others are reported as skipped, and change nothing.

--- a/routes/view.go
+++ b/routes/view.go
@@ -11,8 +11,18 @@
 	"fulmarrun/wire"
 )
 
-// ErrUnknownRow is returned for a row of an unknown kind.
-var ErrUnknownRow = errors.New("row of unknown kind")
+// Errors of rows that can't be merged.
+var (
+	// ErrUnknownRow is returned for a row of an unknown kind.
+	ErrUnknownRow = errors.New("row of unknown kind")
+	// ErrMisplacedRow is returned for a row whose key is not that of its content.
+	ErrMisplacedRow = errors.New("row under the key of another one")
+	// ErrSlotCount is returned for a row of slots with more slots than its service can have.
+	ErrSlotCount = errors.New("slots out of range")
+)
+
+// maxSlots is the maximum number of slots of a service, as in the schema of package config.
+const maxSlots = 1 << 20
 
 // MemberRow is a member with the version of its row.
 type MemberRow struct {
@@ -171,6 +181,9 @@
 	if err := wire.Decode(row.Value, &m.Member); err != nil {
 		return false, err
 	}
+	if m.Generation == 0 || row.Key != MemberKey(m.Generation) {
+		return false, fmt.Errorf("generation %v: %w", m.Generation, ErrMisplacedRow)
+	}
 	old := v.members[m.Generation]
 	v.replaceMember(old, m)
 	return old != nil && onlyReleasedSlots(old, m), nil
@@ -241,6 +254,12 @@
 	if err := wire.Decode(row.Value, &s.Slots); err != nil {
 		return false, err
 	}
+	if row.Key != SlotsKey(s.Service, s.FirstSlot) || s.FirstSlot != FirstSlotOf(s.FirstSlot) {
+		return false, fmt.Errorf("service %q, first slot %d: %w", s.Service, s.FirstSlot, ErrMisplacedRow)
+	}
+	if s.TotalSlots > maxSlots || s.FirstSlot >= s.TotalSlots || len(s.Slots.Slots) > int(s.TotalSlots-s.FirstSlot) {
+		return false, fmt.Errorf("%d slots from %d of %d: %w", len(s.Slots.Slots), s.FirstSlot, s.TotalSlots, ErrSlotCount)
+	}
 	rows := v.markDirty(s.Service).rows
 	old := rows[s.FirstSlot]
 	rows[s.FirstSlot] = s
