daemon, grants: a target that is not heard of isn't opened by a predecessor's row

What was wrong: a member row of an earlier process of the daemon that arrived by gossip opened a target that sends no heartbeats, for up to 250 ms, until the next look at its silence.

Change: only the first reading of the whole table opens the target. Table of tests for ParseProcess.

--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -170,12 +170,13 @@
 			f.departures.add(p)
 		}
 	}
+	loaded := all && !f.departuresLoaded
 	f.departuresLoaded = f.departuresLoaded || all
 	switch {
 	case f.lastBeatAt.IsZero() || f.departed:
 	case f.departures.contain(f.beat.Process):
 		d.closeDeparted("the target had left", 0)
-	default:
+	case loaded:
 		d.openTarget()
 	}
 }
--- a/grants/grants_test.go
+++ b/grants/grants_test.go
@@ -280,3 +280,27 @@
 		}
 	}
 }
+
+func TestParseProcess(t *testing.T) {
+	for _, tc := range []struct {
+		text string
+		want grants.Process
+		ok   bool
+	}{
+		{"i-1/1000", grants.Process{Name: "i-1", Started: time.UnixMilli(1000)}, true},
+		{"a/b/-5", grants.Process{Name: "a/b", Started: time.UnixMilli(-5)}, true},
+		{"", grants.Process{}, false},
+		{"i-1", grants.Process{}, false},
+		{"i-1/", grants.Process{}, false},
+		{"i-1/soon", grants.Process{}, false},
+		{"i-1/9223372036854775808", grants.Process{}, false},
+	} {
+		got, ok := grants.ParseProcess(tc.text)
+		if ok != tc.ok || got != tc.want {
+			t.Errorf("%q: %+v, %t", tc.text, got, ok)
+		}
+		if ok && got.String() != tc.text {
+			t.Errorf("%q: formatted as %q", tc.text, got)
+		}
+	}
+}
