--- a/grants/grants.go
+++ b/grants/grants.go
@@ -31,6 +31,8 @@
 	longestFenceBytes = 6
 	tokenBytes        = 18
 	answerBytes       = 64
+	// maxOvertaken is by how much the sequence of a delayed beat can lie behind the latest one.
+	maxOvertaken = 1000
 	// maxAnswerDelay is how long after its beat was received an answer can still take effect:
 	// targets discard an answer that takes a second.
 	maxAnswerDelay = 1200 * time.Millisecond
@@ -146,7 +148,8 @@
 func (t *Table) Classify(beat *Beat) Freshness {
 	switch {
 	case beat.Process == t.process:
-		if beat.Sequence <= t.lastSequence {
+		// A sequence that lies far behind shows that the latest one was not the target's own.
+		if beat.Sequence <= t.lastSequence && t.lastSequence-beat.Sequence <= maxOvertaken {
 			return Stale
 		}
 	case beat.Started.Before(t.process.Started):
--- a/grants/grants_test.go
+++ b/grants/grants_test.go
@@ -304,3 +304,26 @@
 		}
 	}
 }
+
+// TestSequenceFarAhead receives a beat with a sequence that is not the target's own. The beats
+// that follow must not count as overtaken by it.
+func TestSequenceFarAhead(t *testing.T) {
+	table := grants.NewTable(time.Time{})
+	for _, tc := range []struct {
+		sequence uint64
+		want     grants.Freshness
+	}{
+		{5, grants.Current},
+		{1 << 52, grants.Current},
+		{6, grants.Current},
+		{8, grants.Current},
+		{7, grants.Stale},
+		{8, grants.Stale},
+		{9, grants.Current},
+	} {
+		b := grants.Beat{Process: grants.Process{Name: "i-1", Started: time.UnixMilli(1000)}, Sequence: tc.sequence}
+		if got := table.Classify(&b); got != tc.want {
+			t.Errorf("sequence %d: %v, want %v", tc.sequence, got, tc.want)
+		}
+	}
+}
