--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -68,7 +68,7 @@
 		p = f.unmetDeparture(p.Name)
 	case p.Started.After(current.Started):
 	default:
-		return grants.Process{}, fmt.Errorf("process %s: %w", p, ErrUnknownTarget)
+		return grants.Process{}, fmt.Errorf("target %q: %w", p.Name, ErrUnknownTarget)
 	}
 	d.addDeparture(p)
 	d.publishTargetState("the target leaves")
