daemon: what is remembered of a departure shuts out nothing that comes back

What targets would see: a target that came back after it had left or drained got no work for as long as its process lived. So it was for a process that starts again under the same name with a clock that was set back, or within the drain limit after a leave that came before the first heartbeat; and for one that reports "ready" again after "draining". A leave that a target repeats after another has replaced it was refused.

Change: a departure concerns one process. Where only the name is known it concerns the first process of the name that is met, if that started before the message came. What was stored is part of the same set. A leave that names a target which is not met is recorded, unless the present one leaves: the row holds one departure.

--- a/control/core.go
+++ b/control/core.go
@@ -186,8 +186,8 @@
 // Self returns the latest known version of the generation's own member row.
 func (c *Core) Self() wire.Member { return c.self }
 
-// StoredDeparture returns the target process that left last according to the generation's own
-// member row in the present timeline; empty if none has, or if the row is not stored yet.
+// StoredDeparture returns the DepartedTarget of the generation's own member row in the present
+// timeline; empty if the row is not stored yet.
 func (c *Core) StoredDeparture() string {
 	if !c.joined || !c.registered() {
 		return ""
--- a/control/message.go
+++ b/control/message.go
@@ -120,8 +120,8 @@
 // TargetChanged reports whether the target beside the daemon takes work.
 type TargetChanged struct {
 	Idle bool
-	// DepartedTarget identifies the run of the target that has left permanently; empty if
-	// none has.
+	// DepartedTarget tells which run of the target has left permanently or drains; empty if none
+	// does.
 	DepartedTarget string
 	Reason         string
 }
--- a/daemon/beat.go
+++ b/daemon/beat.go
@@ -38,45 +38,57 @@
 	if beat.Service != d.settings.Service {
 		return grants.Answer{}, fmt.Errorf("service %q: %w", beat.Service, ErrWrongService)
 	}
-	answer, current := d.applyBeat(now, beat)
-	if !beat.Draining || !current {
+	answer, announced := d.applyBeat(now, beat)
+	if announced == nil {
 		return answer, nil
 	}
-	if err := d.awaitStored(ctx, beat.Process); err != nil {
+	if err := d.awaitStored(ctx, *announced); err != nil {
 		return grants.Answer{}, err
 	}
 	return answer, nil
 }
 
-// applyBeat applies a beat, and reports whether it is of the current process of the target.
-func (d *Daemon) applyBeat(now time.Time, beat grants.Beat) (answer grants.Answer, current bool) {
+// applyBeat applies a beat, and returns the departure that it announces; nil if it announces
+// none.
+func (d *Daemon) applyBeat(now time.Time, beat grants.Beat) (answer grants.Answer, announced *departure) {
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch f.table.Classify(&beat) {
 	case grants.Stale:
 		d.log.Debug(logs.EventBeatOutdated, logs.FieldTarget, beat.Name, logs.FieldSequence, beat.Sequence)
-		current = beat.Process == f.beat.Process
-		if current && beat.Draining {
-			d.closeDeparted("the target drains", f.drainLimit-drainMargin)
-		}
-		return grants.Answer{}, current
+		return grants.Answer{}, f.announcedBy(beat)
 	case grants.Restarted:
 		d.updateTarget(now, beat)
 		d.restartGeneration("its target has started anew")
-		return grants.Answer{}, true
+		return grants.Answer{}, f.announcedBy(beat)
 	case grants.Current:
 	}
 	d.updateTarget(now, beat)
 	f.table.SetRequestTime(d.gate.Stats().Latency)
 	answer = f.table.Beat(now, &beat, d.server.LeaseUntil())
 	if s, ok := d.service(); !ok || !s.Ranged {
-		return grants.Answer{}, true
+		return grants.Answer{}, f.announcedBy(beat)
 	}
 	if answer.Omitted > 0 {
 		d.logStateChange(logs.EventGrantTooLarge, "", logs.FieldSlots, answer.Omitted)
 	}
-	return answer, true
+	return answer, f.announcedBy(beat)
+}
+
+// announcedBy returns the departure that a beat announces: it says that the current process
+// drains, and no later beat has taken that back. The caller holds the lock.
+func (f *fetchedGrants) announcedBy(beat grants.Beat) *departure {
+	if !beat.Draining || beat.Process != f.beat.Process {
+		return nil
+	}
+	if f.left {
+		return &departure{Process: beat.Process}
+	}
+	if drain, ok := f.departures.drainOf(beat.Process); ok {
+		return &drain
+	}
+	return nil
 }
 
 // updateTarget records the current target process and its state. The caller holds the
@@ -85,7 +97,8 @@
 	f := d.fetchedGrants
 	previous := f.beat
 	if previous.Process != beat.Process {
-		f.departed = f.departures.contain(beat.Process)
+		f.departures.dropBefore(previous.Started)
+		f.left = false
 		d.resetCondition(beat.String())
 		d.log.Info(logs.EventNewTarget, logs.FieldTarget, beat.Name, logs.FieldAddress, beat.Address,
 			logs.FieldSlots, beat.Slots, logs.FieldCold, beat.Cold)
@@ -96,16 +109,13 @@
 	}
 	d.limitColdRateLocked()
 	d.client.SetDestination(targethttp.Destination{Address: beat.Address, Name: beat.Name, Process: beat.String()})
-	switch {
-	case (beat.Draining || f.departed) && previous.Process != beat.Process:
+	delay := f.drainLimit - drainMargin
+	if previous.Process != beat.Process {
 		// An earlier process of the daemon may have received the drain notice long ago, so
 		// the drain limit may already be over.
-		d.closeDeparted("the target drains", 0)
-	case beat.Draining:
-		d.closeDeparted("the target drains", f.drainLimit-drainMargin)
-	case !f.departed:
-		d.openTarget()
+		delay = 0
 	}
+	d.reviewTarget(delay)
 }
 
 // limitColdRate bounds the request rate while the target is cold.
--- a/daemon/departure.go
+++ b/daemon/departure.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/admission"
+	"fulmarrun/clock"
 	"fulmarrun/grants"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
@@ -26,93 +27,66 @@
 // target is sent no more work all the same.
 var ErrNotStored = errors.New("departure of the target is not stored yet")
 
-// departures are the target processes beside the daemon that are known to drain or to leave for
-// good: for each name, when the last of them started. Earlier processes of the name have left as
-// well.
-type departures map[string]time.Time
-
-func (d departures) add(p grants.Process) {
-	if started, known := d[p.Name]; !known || started.Before(p.Started) {
-		d[p.Name] = p.Started
-	}
-}
-
-func (d departures) contain(p grants.Process) bool {
-	started, known := d[p.Name]
-	return known && !p.Started.After(started)
-}
-
 // TargetDeparted records that a process of the target leaves for good; its start is zero if it is
 // not known. TargetDeparted returns nil once that is stored at the platform, since the next
 // process of the daemon has to know.
 func (d *Daemon) TargetDeparted(ctx context.Context, p grants.Process) error {
-	departed, err := d.recordDeparture(p)
+	left, err := d.recordLeave(p)
 	if err != nil {
 		return err
 	}
-	return d.awaitStored(ctx, departed)
+	return d.awaitStored(ctx, left)
 }
 
-// recordDeparture records that a process of the target leaves for good, and returns the process
-// with its start.
-func (d *Daemon) recordDeparture(p grants.Process) (grants.Process, error) {
+// recordLeave records that a process of the target leaves for good.
+func (d *Daemon) recordLeave(p grants.Process) (departure, error) {
 	f := d.fetchedGrants
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current, met := f.beat.Process, !f.lastBeatAt.IsZero()
+	left := departure{Process: p}
 	switch {
 	case met && p.Name == current.Name && (p.Started.IsZero() || p.Started.Equal(current.Started)):
-		d.closeDeparted("the target leaves", f.drainLimit-drainMargin)
-		return current, nil
-	case !met && p.Started.IsZero():
-		p = f.unmetDeparture(p.Name)
-	case p.Started.After(current.Started):
-	default:
-		return grants.Process{}, fmt.Errorf("target %q: %w", p.Name, ErrUnknownTarget)
+		d.closeLeft("the target leaves", f.drainLimit-drainMargin)
+		return departure{Process: current}, nil
+	case p.Started.IsZero() && !f.draining:
+		// It is a process that this daemon has not met yet, or one that the current one replaced.
+		left = f.departures.named(p.Name)
+	case p.Started.IsZero() || !p.Started.After(current.Started):
+		return departure{}, fmt.Errorf("target %q: %w", p.Name, ErrUnknownTarget)
 	}
-	d.addDeparture(p)
+	d.recordDeparture(left)
 	d.publishTargetState("the target leaves")
-	return p, nil
-}
-
-// unmetDeparture returns the process of a target that leaves if only its name is known. The
-// caller holds the lock.
-func (f *fetchedGrants) unmetDeparture(name string) grants.Process {
-	if last, ok := grants.ParseProcess(f.lastDeparture); ok && last.Name == name {
-		return last
-	}
-	// An earlier process of the daemon has met the target. It serves at least for the drain limit
-	// from now on, so that its next process can't have started by then.
-	return grants.Process{Name: name, Started: time.Now().Add(f.drainLimit).Truncate(time.Millisecond)}
+	return left, nil
 }
 
-// awaitStored waits until the platform has stored that a target process leaves.
-func (d *Daemon) awaitStored(ctx context.Context, departed grants.Process) error {
+// awaitStored waits until the platform has stored a departure.
+func (d *Daemon) awaitStored(ctx context.Context, x departure) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	f := d.fetchedGrants
 	stored := waitUntil(ctx, func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		return f.storedDepartures.contain(departed)
+		return f.departures[x]
 	})
 	if !stored {
-		return fmt.Errorf("target %s: %w", departed, ErrNotStored)
+		return fmt.Errorf("target %s: %w", x.Process, ErrNotStored)
 	}
 	return nil
 }
 
-// recordStoredDeparture records the departure in the member row that is stored at the platform.
+// recordStoredDeparture records that the departure in the member row is stored at the platform.
 func (i *incarnation) recordStoredDeparture() {
-	f, departed := i.d.fetchedGrants, i.core.StoredDeparture()
-	if f == nil || departed == i.storedDeparture {
+	f, text := i.d.fetchedGrants, i.core.StoredDeparture()
+	if f == nil || text == i.storedDeparture {
 		return
 	}
-	i.storedDeparture = departed
-	if p, ok := grants.ParseProcess(departed); ok {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.storedDepartures.add(p)
+	i.storedDeparture = text
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x, ok := parseDeparture(text); ok && f.departures.has(x) {
+		f.departures[x] = true
 	}
 }
 
@@ -126,30 +100,75 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.beat.String() == process {
-		d.closeDeparted("the target's answers say that it leaves", f.drainLimit-drainMargin-age)
+		d.closeLeft("the target's answers say that it leaves", f.drainLimit-drainMargin-age)
 	}
 }
 
-// addDeparture records a process that the target has announced to leave. The caller holds the
-// lock.
-func (d *Daemon) addDeparture(p grants.Process) {
+// recordDeparture records a departure that the target has announced. The caller holds the lock.
+func (d *Daemon) recordDeparture(x departure) {
 	f := d.fetchedGrants
-	f.departures.add(p)
-	f.lastDeparture = p.String()
+	f.departures.add(x)
+	f.lastDeparture = x.String()
 }
 
-// closeDeparted records that the current process of the target drains or leaves for good, and
-// sends it no more work after the delay. The caller holds the lock.
-func (d *Daemon) closeDeparted(reason string, delay time.Duration) {
+// closeLeft records that the current process of the target leaves for good, and sends it no
+// more work after the delay. The caller holds the lock.
+func (d *Daemon) closeLeft(reason string, delay time.Duration) {
 	f := d.fetchedGrants
-	f.departed = true
-	d.addDeparture(f.beat.Process)
+	f.left = true
+	f.departures.dropNamed(f.beat.Name)
+	d.recordDeparture(departure{Process: f.beat.Process})
 	d.drainTarget(reason, delay)
 	d.publishTargetState(reason)
 }
 
-// loadDepartures restores the departed target processes from the member rows that earlier
-// processes of this instance wrote. all is true if those are all rows of the platform.
+// reviewTarget opens or closes the target according to its latest beat and the departures that
+// are known. A target that drains is sent no more work after the delay. The caller holds the lock.
+func (d *Daemon) reviewTarget(delay time.Duration) {
+	f := d.fetchedGrants
+	drain, drained := f.departures.drainOf(f.beat.Process)
+	switch {
+	case f.left:
+	case f.departures.hasLeft(f.beat.Process):
+		d.closeLeft("the target had left", 0)
+	case drained && f.beat.Sequence < drain.sequence:
+		// The beat is older than the one that an earlier process of the daemon has received.
+		d.closeDrained(drain, 0)
+	case f.beat.Draining && drained:
+		d.closeDrained(drain, delay)
+	case f.beat.Draining:
+		d.closeDrained(departure{Process: f.beat.Process, drains: true, sequence: f.beat.Sequence}, delay)
+	default:
+		if drained {
+			delete(f.departures, drain)
+			f.lastDeparture = ""
+		}
+		d.openTarget()
+	}
+}
+
+// closeDrained records that the current process of the target drains, and sends it no more work
+// after the delay. The caller holds the lock.
+func (d *Daemon) closeDrained(drain departure, delay time.Duration) {
+	d.recordDeparture(drain)
+	d.drainTarget("the target drains", delay)
+	d.publishTargetState("the target drains")
+}
+
+// openTarget lets the target receive work if it sends beats, and if what earlier processes of the
+// daemon have acknowledged is known. The caller holds the lock.
+func (d *Daemon) openTarget() {
+	f := d.fetchedGrants
+	if !f.departuresLoaded || clock.Since(f.lastBeatAt) > absenceTimeout {
+		return
+	}
+	f.draining = false
+	d.gate.Report(admission.Health{Draining: f.domainClosed})
+	d.setIdle(false, "the target is there")
+}
+
+// loadDepartures restores the departures from the member rows that earlier processes of this
+// instance wrote. all is true if those are all rows of the platform.
 func (d *Daemon) loadDepartures(rows []wire.Row, all bool) {
 	f := d.fetchedGrants
 	if f == nil {
@@ -163,32 +182,12 @@
 			// Rows that can't be decoded are logged where rows are applied.
 			continue
 		}
-		if m.Instance != d.settings.Instance {
-			continue
-		}
-		if p, ok := grants.ParseProcess(m.DepartedTarget); ok {
-			f.departures.add(p)
+		if x, ok := parseDeparture(m.DepartedTarget); ok && m.Instance == d.settings.Instance {
+			f.departures[x] = f.departures[x] || all
 		}
 	}
-	loaded := all && !f.departuresLoaded
 	f.departuresLoaded = f.departuresLoaded || all
-	switch {
-	case f.lastBeatAt.IsZero() || f.departed:
-	case f.departures.contain(f.beat.Process):
-		d.closeDeparted("the target had left", 0)
-	case loaded:
-		d.openTarget()
+	if !f.lastBeatAt.IsZero() {
+		d.reviewTarget(f.drainLimit - drainMargin)
 	}
 }
-
-// openTarget lets the target receive work, unless an earlier process of the daemon may have
-// acknowledged that it leaves. The caller holds the lock.
-func (d *Daemon) openTarget() {
-	f := d.fetchedGrants
-	if !f.departuresLoaded {
-		return
-	}
-	f.draining = false
-	d.gate.Report(admission.Health{Draining: f.domainClosed})
-	d.setIdle(false, "the target is there")
-}
--- a/daemon/export_test.go
+++ b/daemon/export_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fulmarrun/clock"
+	"fulmarrun/routes"
 	"fulmarrun/wire"
 )
 
@@ -30,3 +31,24 @@
 	defer f.mu.Unlock()
 	return clock.Until(f.closesAt), f.draining
 }
+
+// LoadDepartures loads member rows of earlier processes of the instance with these departures, as
+// if they were all rows of the platform.
+func (d *Daemon) LoadDepartures(texts ...string) {
+	rows := make([]wire.Row, 0, len(texts))
+	for i, text := range texts {
+		m := wire.Member{Instance: d.settings.Instance, Generation: wire.Generation(i + 1), DepartedTarget: text}
+		value, err := wire.Encode(&m)
+		if err != nil {
+			panic(err)
+		}
+		rows = append(rows, wire.Row{Key: routes.MemberKey(m.Generation), Version: 1, Value: value})
+	}
+	d.loadDepartures(rows, true)
+}
+
+// ReparseDeparture returns the text of a departure that is read from a text.
+func ReparseDeparture(text string) (string, bool) {
+	x, ok := parseDeparture(text)
+	return x.String(), ok
+}
--- a/daemon/fetched.go
+++ b/daemon/fetched.go
@@ -34,17 +34,15 @@
 	// beat is the last beat that was not stale, and lastBeatAt is when it was received.
 	beat       grants.Beat
 	lastBeatAt time.Time
-	// departed is true once the current target process is known to drain or to leave for good.
-	departed   bool
+	// left is true once the current target process is known to leave for good.
+	left       bool
 	departures departures
 	// departuresLoaded is true once what earlier processes of the daemon have recorded was read
 	// from the platform.
 	departuresLoaded bool
-	// lastDeparture identifies the process that this daemon was last told of that it leaves,
-	// by the target itself.
+	// lastDeparture is the text of the departure that the target announced last; empty if it
+	// has announced none or has taken it back.
 	lastDeparture string
-	// storedDepartures are those that a member row at the platform contains.
-	storedDepartures departures
 	// draining is true after the target process says that it drains or leaves, until it or
 	// another process accepts work.
 	draining   bool
@@ -84,10 +82,7 @@
 }
 
 func newFetchedGrants(opts []FetchOption) *fetchedGrants {
-	f := &fetchedGrants{
-		idle: true, departures: make(departures), storedDepartures: make(departures),
-		drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit,
-	}
+	f := &fetchedGrants{idle: true, departures: make(departures), drainLimit: defaultDrainLimit, domainOutLimit: defaultDomainOutLimit}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/wire/schema.go
+++ b/wire/schema.go
@@ -181,8 +181,8 @@
 	Heirs []Generation `msg:"h"`
 	// Idle is true while the target beside the daemon accepts no requests.
 	Idle bool `msg:"a"`
-	// DepartedTarget identifies the run of the target that has left for good; empty if
-	// none has.
+	// DepartedTarget tells which run of the target has left for good or drains; empty if none
+	// does.
 	DepartedTarget string `msg:"l"`
 	// ReleasedSlots lists the rows of which this generation has handed over slots. An
 	// heir must have at least these revisions of the rows.
