platform: a feed that may be lost is opened again, and kept short

Cause: a feed of the operators' table that is opened while the store is silent gets no answer, and its daemon waited for its whole time (5 to 10 s, and 2 s more), also after the store had answered other calls of it. Until then it depended on notices of peers.

Feeds opened before an outage were answered after it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,10 @@
 	configSince atomic.Pointer[time.Time]
 	// timeline is the timeline of the store that was last logged; nil before its first answer.
 	timeline atomic.Pointer[uint64]
+	// storeDoubts wakes the feed of Protocols.WatchConfig.
+	storeDoubts doubts
+	// leased is true once a generation of this process has held its lease.
+	leased atomic.Bool
 	// unreachable lists the daemons that requests can't be sent to.
 	unreachable outages
 
@@ -168,7 +172,7 @@
 		d.control = append(fetchedGrantsControl(), d.control...)
 		d.owner = append(d.owner, owner.WithGrantCheck(d.fetchedGrants.isGranted, d.fetchedGrants.markRejected))
 	}
-	d.store = storage.Track(d.store, clock.Now, storage.WithAvailabilityObserver(d.logStoreChange))
+	d.store = storage.Track(d.store, clock.Now, storage.WithAvailabilityObserver(d.observeStore))
 	d.counters = newCounters(d.registry)
 	d.owner = append(d.owner, owner.WithObserver(d.logServed), owner.WithKnownCondition(d.adoptCondition))
 	d.forward = append(d.forward, forward.WithObserver(d.logFailedTry))
--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -165,6 +165,7 @@
 func (i *incarnation) shutDown() {
 	i.d.server.SetLease(time.Time{})
 	i.d.server.CancelKeyed()
+	i.d.storeDoubts.raise()
 	i.cancel()
 	i.wg.Wait()
 }
@@ -288,6 +289,7 @@
 	hasLease := i.d.server.HasLease()
 	if i.hasLease && !hasLease {
 		i.d.server.CancelKeyed()
+		i.d.storeDoubts.raise()
 		level := log.WarnLevel
 		if i.d.leaving.Load() {
 			level = log.InfoLevel
@@ -295,6 +297,7 @@
 		i.d.log.Log(level, logs.EventLeaseLost, logs.FieldGeneration, i.self.Generation)
 	}
 	if !i.hasLease && hasLease {
+		i.d.leased.Store(true)
 		i.d.log.Info(logs.EventLeaseHeld, logs.FieldGeneration, i.self.Generation)
 	}
 	i.hasLease = hasLease
--- a/daemon/statelog.go
+++ b/daemon/statelog.go
@@ -81,13 +81,14 @@
 	}
 }
 
-// logStoreChange logs that the store stopped answering (err is not nil) or answers
-// again.
-func (d *Daemon) logStoreChange(err error) {
+// observeStore logs that the store stopped answering (err is not nil) or answers again. Other
+// calls of this daemon may have been lost as well.
+func (d *Daemon) observeStore(err error) {
 	if err == nil {
 		d.logStateChange(logs.EventStoreRegained, "", logs.FieldAge, d.storeSilence())
 		return
 	}
+	d.storeDoubts.raise()
 	d.logStateChange(logs.EventStoreLost, "", logs.FieldAge, d.storeSilence(), logs.FieldErr, err)
 }
 
--- a/logs/events.go
+++ b/logs/events.go
@@ -65,6 +65,7 @@
 	EventPlatformReadFailed = "platform not read"
 	EventFeedReset          = "history of the operators' table is gone; reading it again"
 	EventFeedReadFailed     = "operators' table not read"
+	EventFeedDoubted        = "feed of the operators' table may be lost; opening it again"
 	EventPeerLost           = "peer lost"
 	EventPeerRegained       = "peer regained"
 )
