forward: a request at which its target is at work isn't given up

Cause: from 100 ms after a keyed request that may be repeated was sent on, the forwarder cancelled it as soon as the owner's generation was closed or the key had another owner, whether the target was still at work or not. It answered 502 itself if the retry budget or the number of attempts allowed no repeat, or if the repeat failed.

Evidence: TestRunningTryGivenUp, which fails in four of five cases on ("unknown (lost) after 1 tries", "unknown (full) after 2 tries" in place of the target's answer).

Change: the next owner is tried beside the first, which goes on; the first answer ends the other try. Without a further attempt or budget the first try just goes on. It is given up if its daemon doesn't respond to a call within 0.4 s (a frozen or lost machine).

--- a/forward/daemon_test.go
+++ b/forward/daemon_test.go
@@ -74,6 +74,14 @@
 	})
 }
 
+// closeMember closes a generation.
+func (w *testDaemon) closeMember(g wire.Generation) {
+	w.put(routes.MemberKey(g), &wire.Member{
+		Instance: fmt.Sprint("agenda-", g), Generation: g, Service: "agenda", Domain: "heredia", State: wire.StateClosed,
+	})
+	w.publish()
+}
+
 // assignSlot makes g the owner of the only slot; with a zero g it has no owner.
 func (w *testDaemon) assignSlot(g wire.Generation, epoch uint64) {
 	w.put(routes.SlotsKey("agenda", 0), &wire.Slots{
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -38,6 +38,8 @@
 	moveRetryAfter = 500 * time.Millisecond
 	// ownerRetryAfter is the Retry-After for a key whose owner was lost.
 	ownerRetryAfter = time.Second
+	// aliveTimeout is how long another daemon may take to show that it responds.
+	aliveTimeout = 400 * time.Millisecond
 	// defaultOwnerWait bounds how long a request waits for its key to get an owner.
 	// A takeover has finished by then, or does not happen while the platform is down.
 	defaultOwnerWait = 3 * time.Second
@@ -67,6 +69,12 @@
 	return func(f *Forwarder) { f.call = call }
 }
 
+// WithAliveCheck is a functional option that replaces the function that reports whether
+// another daemon responds.
+func WithAliveCheck(alive func(ctx context.Context, to *routes.Owner) bool) Option {
+	return func(f *Forwarder) { f.alive = alive }
+}
+
 // WithOwnerWait is a functional option that sets how long a request waits for its
 // key to get an owner.
 func WithOwnerWait(d time.Duration) Option {
@@ -104,6 +112,7 @@
 type Forwarder struct {
 	ownServer *owner.Server
 	call      func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error)
+	alive     func(ctx context.Context, to *routes.Owner) bool
 	options   []admission.Option
 	// ownerWait bounds how long a request waits for its key to get an owner.
 	ownerWait time.Duration
@@ -121,7 +130,7 @@
 }
 
 // NewForwarder returns a forwarder that passes requests to ownServer where this daemon may
-// serve them, and calls the other daemons through peers.
+// serve them, and calls the other daemons through peers, which may be nil with WithCall.
 func NewForwarder(ownServer *owner.Server, peers *peer.Client, opts ...Option) *Forwarder {
 	f := &Forwarder{
 		ownServer: ownServer, budgets: make(map[string]*admission.RetryBudget), pools: make(map[string]*pool), ownerWait: defaultOwnerWait,
@@ -130,6 +139,15 @@
 	f.call = func(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 		return peer.Call[wire.Response](ctx, peers, to.Peer, peer.KindRequest, req)
 	}
+	f.alive = func(ctx context.Context, to *routes.Owner) bool {
+		if peers == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+		defer cancel()
+		_, err := peer.Call[wire.Status](ctx, peers, to.Peer, peer.KindStatus, &wire.StatusRequest{From: ownServer.ServingState().Generation})
+		return err == nil
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
--- a/forward/keyed.go
+++ b/forward/keyed.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"fulmarrun/config"
+	"fulmarrun/guard"
 	"fulmarrun/owner"
 	"fulmarrun/routes"
+	"fulmarrun/storage"
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
 )
@@ -32,16 +35,21 @@
 	ownerlessSince time.Time
 }
 
-// routeKeyed sends a request to the owner of its key, and looks the owner up again
-// before each try.
+// routeKeyed sends a request to the owner of its key.
 func (f *Forwarder) routeKeyed(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
 	k := &keyedRequest{f: f, kind: kind, req: req, callerID: kind.Deduplicated() && !req.FirstAttempt}
+	return k.route(ctx)
+}
+
+// route sends the request to the owner of its key, and looks the owner up again before each
+// try.
+func (k *keyedRequest) route(ctx context.Context) *wire.Response {
 	for {
 		if ctx.Err() != nil {
 			return contextResponse(ctx, k.callerID || k.mayHaveRun)
 		}
-		snapshot := f.ownServer.ServingState().Snapshot
-		route, _ := snapshot.Lookup(req.Service, req.Key)
+		snapshot := k.f.ownServer.ServingState().Snapshot
+		route, _ := snapshot.Lookup(k.req.Service, k.req.Key)
 		if route.Owner == nil {
 			if response := k.waitForOwner(ctx, snapshot); response != nil {
 				return response
@@ -111,14 +119,14 @@
 	if ctx.Err() != nil {
 		return contextResponse(ctx, true)
 	}
+	if errors.Is(err, errOwnerLost) {
+		return failureResponse(ReasonLost, true)
+	}
 	// The owner, and also the next owner, remembers the ID of a request that may not
 	// be repeated, so that a retry does not run it twice.
 	if !k.kind.Deduplicated() && !k.mayRepeat() {
 		return failureResponse(ReasonLost, true)
 	}
-	if errors.Is(err, errRerouted) {
-		return k.waitForRetry(ctx, snapshot, 0, ReasonLost)
-	}
 	return k.waitForRetry(ctx, snapshot, retryDelay, ReasonLost)
 }
 
@@ -162,40 +170,103 @@
 	return &unknown
 }
 
-var errRerouted = errors.New("the key has a new owner")
+var (
+	// errOwnerLost ends a try at an owner that has lost the key and does not answer.
+	errOwnerLost = errors.New("the owner has lost the key and does not answer")
+	// errAnsweredElsewhere ends a try when the next owner of the key has answered.
+	errAnsweredElsewhere = errors.New("the next owner has answered")
+)
+
+const (
+	// watchDelay is how long a request is at its owner before the forwarder starts to
+	// watch for a change of owner; a lease lasts much longer.
+	watchDelay = 100 * time.Millisecond
+	// aliveCheckInterval is the time between two checks that an owner that has lost the key
+	// still answers.
+	aliveCheckInterval = time.Second
+)
 
-// watchDelay is how long a request is at its owner before the forwarder starts to
-// watch for a change of owner; a lease lasts much longer.
-const watchDelay = 100 * time.Millisecond
+// secondTry is a try at the next owner of a key while the first one is still running.
+type secondTry struct {
+	// claimed is set by whichever comes first, the second try or the end of the first.
+	claimed atomic.Bool
+	// done receives the response; nil if the request may not be repeated.
+	done chan *wire.Response
+}
 
-// sendWatchingOwner sends the request to the owner, and cancels the try as soon as
-// the key has another owner, because the first one has lost its lease by then.
+// sendWatchingOwner sends the request to the owner. Once the key has another owner, the
+// request is tried there as well, and the first answer counts.
 func (k *keyedRequest) sendWatchingOwner(ctx context.Context, route routes.Route) (*wire.Response, error) {
 	if k.kind.UniqueIDs && !k.kind.Repeatable() || route.Owner.Generation == k.f.ownServer.ServingState().Generation {
 		return k.f.send(ctx, route.Owner, route.Epoch, k.req)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := time.AfterFunc(watchDelay, func() { k.watch(ctx, route, cancel) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	firstCtx, cancelFirst := context.WithCancelCause(ctx)
+	defer cancelFirst(nil)
+	second := &secondTry{done: make(chan *wire.Response, 1)}
+	watch := time.AfterFunc(watchDelay, func() { k.watch(ctx, route, second, cancelFirst) })
 	defer watch.Stop()
-	return k.f.send(ctx, route.Owner, route.Epoch, k.req)
+	response, err := k.f.send(firstCtx, route.Owner, route.Epoch, k.req)
+	if err == nil && response.Outcome == wire.OutcomeAnswered || second.claimed.CompareAndSwap(false, true) {
+		return response, err
+	}
+	if next := <-second.done; next != nil {
+		return next, nil
+	}
+	return response, err
 }
 
-// watch cancels the try once the owner of the route is gone or the key has another
-// owner.
-func (k *keyedRequest) watch(ctx context.Context, route routes.Route, cancel context.CancelCauseFunc) {
+// watch tries the request at the next owner of its key as soon as there is one. The first try
+// goes on meanwhile: its target may be at work on the request, also after the generation of its
+// daemon was closed. It ends when the next owner has answered, or when the first one no longer
+// responds.
+func (k *keyedRequest) watch(ctx context.Context, route routes.Route, second *secondTry, cancelFirst context.CancelCauseFunc) {
+	if !k.waitForReroute(ctx, route) || !second.claimed.CompareAndSwap(false, true) {
+		return
+	}
+	response := failureResponse(ReasonLost, true)
+	// After a panic, the response is that of a lost try.
+	_ = guard.Run(func() { response = k.tryNextOwner(ctx) })
+	second.done <- response
+	if response != nil && response.Outcome == wire.OutcomeAnswered {
+		cancelFirst(errAnsweredElsewhere)
+		return
+	}
+	for k.f.alive(ctx, route.Owner) {
+		if storage.Sleep(ctx, aliveCheckInterval) != nil {
+			return
+		}
+	}
+	cancelFirst(errOwnerLost)
+}
+
+// waitForReroute waits until the owner of the route is gone or the key has another owner. It
+// reports false if ctx ends first.
+func (k *keyedRequest) waitForReroute(ctx context.Context, route routes.Route) bool {
 	for {
 		snapshot := k.f.ownServer.ServingState().Snapshot
 		current, ok := snapshot.Lookup(k.req.Service, k.req.Key)
 		closed := snapshot.Owner(route.Owner.Generation) == nil
 		if closed || ok && current.Owner != nil && current.Owner.Generation != route.Owner.Generation && current.Epoch > route.Epoch {
-			cancel(errRerouted)
-			return
+			return true
 		}
 		select {
 		case <-snapshot.Changed():
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
+
+// tryNextOwner routes the request again while an earlier try is still at its owner. It returns
+// nil if the request may not be repeated.
+func (k *keyedRequest) tryNextOwner(ctx context.Context) *wire.Response {
+	req := *k.req
+	req.FirstAttempt = false
+	next := &keyedRequest{f: k.f, kind: k.kind, req: &req, callerID: k.callerID, mayHaveRun: true, targetTries: k.targetTries}
+	if k.f.tryOnce || !k.kind.Deduplicated() && !next.mayRepeat() {
+		return nil
+	}
+	return next.finalResponse(next.route(ctx))
+}
