daemon: a request that comes late in a stop is refused, not cut

What callers saw (a report of other operators, reproduced by a test here): in a planned stop of one machine, requests whose body came late in the grace were taken and passed on, and cut without an answer when the process ended, among them requests that may not be repeated.

Cause: for its last 3 s a stopping daemon closes its listener and idle connections, and waits for connections at work. One that has sent the head of a request counts as at work. Its request was passed on whenever its body was complete, whatever time was left.

Evidence: TestLateRequestsInStop. By its head, or behind another request on its connection, a late request isn't read: net/http closes the connection before it serves a request whose head arrives in that time. A request that comes through another daemon late is routed elsewhere (owner TestStop and others hold that). Work of up to the remaining time is answered.

Change: once the listener is closed, a request whose time limit is later than the end of the process is answered 503 at once: it has not run. Requests that are still running 0.1 s before the end get an answer (unknown, 502) in place of a cut connection, also those that may not be repeated and run under a lease at the target beside the daemon.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,6 +121,7 @@
 	leave   chan string
 	leaving atomic.Bool
 
+	lastAnswer *lastAnswer
 	// ended is closed when a daemon that stops for a restart of its process has finished.
 	ended   chan struct{}
 	endOnce sync.Once
@@ -145,6 +146,7 @@
 		leave:         make(chan string, 1),
 		grantsChanged: make(chan struct{}, 1),
 		aborted:       make(chan struct{}),
+		lastAnswer:    newLastAnswer(),
 		ended:         make(chan struct{}),
 	}
 	// A random seed for each daemon keeps daemons from making the same random choices at
@@ -354,6 +356,9 @@
 func (d *Daemon) finishRequests(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
+	end := clock.Now().Add(d.settings.DrainTimeout)
+	d.lastAnswer.schedule(end)
+	d.lastAnswer.refuseLate(end)
 	if err := d.shutDownCallers(ctx); err != nil {
 		return fmt.Errorf("finish callers' requests: %w", err)
 	}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -32,7 +32,12 @@
 // It counts the request, and logs it if the response is not an answer or came late.
 func (d *Daemon) Route(ctx context.Context, kind *config.Kind, req *wire.Request) *wire.Response {
 	startedAt := time.Now()
-	response := d.forwarder.Route(ctx, kind, req)
+	response := d.lastAnswer.refusal(kind, req)
+	if response == nil {
+		limited, done := d.lastAnswer.limit(ctx)
+		response = d.forwarder.Route(limited, kind, req)
+		done()
+	}
 	took := time.Since(startedAt)
 	d.counters.countRequest(req.Service, kind.Name, response, took)
 	switch {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fulmarrun/clock"
+	"fulmarrun/config"
 	"fulmarrun/logs"
+	"fulmarrun/owner"
 	"fulmarrun/storage"
+	"fulmarrun/wire"
 )
 
 const (
@@ -14,17 +20,80 @@
 	// ready, so that callers can switch to other daemons: two readiness checks at an
 	// interval of one second, plus a margin.
 	notReadyPeriod = 2500 * time.Millisecond
+	// answerMargin is the time before the end of the process for the last answers to reach
+	// their callers.
+	answerMargin = 100 * time.Millisecond
+	// stoppedRetryAfter is the Retry-After of a request that comes too late to be served
+	// before the process ends. The next process takes requests after about that time.
+	stoppedRetryAfter = time.Second
 )
 
+// errProcessEnds cancels the requests that are still running when the process has to end.
+var errProcessEnds = errors.New("the process ends")
+
+// lastAnswer limits the requests of callers to the remaining life of a process that stops.
+type lastAnswer struct {
+	// due is when the last answers are sent; nil until the daemon takes only requests that
+	// are answered by then.
+	due atomic.Pointer[time.Time]
+	// ends is cancelled when the last answers are due.
+	ends   context.Context
+	cancel context.CancelFunc
+}
+
+func newLastAnswer() *lastAnswer {
+	l := &lastAnswer{}
+	l.ends, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// schedule ends all requests shortly before the process ends.
+func (l *lastAnswer) schedule(end time.Time) {
+	time.AfterFunc(max(clock.Until(end)-answerMargin, 0), l.cancel)
+}
+
+// refuseLate makes request refuse what may take longer than the process lives.
+func (l *lastAnswer) refuseLate(end time.Time) {
+	due := end.Add(-answerMargin)
+	l.due.Store(&due)
+}
+
+// refusal returns the answer to a request that may take longer than the process lives; nil for
+// others.
+func (l *lastAnswer) refusal(kind *config.Kind, req *wire.Request) *wire.Response {
+	due := l.due.Load()
+	if due == nil || req.Wait <= clock.Until(*due) {
+		return nil
+	}
+	r := wire.Refuse(owner.ReasonStopped, stoppedRetryAfter)
+	if kind.Deduplicated() && !req.FirstAttempt {
+		// An earlier attempt with the same ID may have run.
+		r.Outcome = wire.OutcomeUnknown
+	}
+	return r
+}
+
+// limit returns a context that also ends when the last answers are due.
+func (l *lastAnswer) limit(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(l.ends, func() { cancel(errProcessEnds) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // stop stops a daemon whose process will restart. Callers' requests and running
 // requests finish; its slots stay assigned to its next process.
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	end := clock.Now().Add(d.settings.DrainTimeout)
 	d.log.Info(logs.EventStopping, logs.FieldDrain, d.settings.DrainTimeout)
+	d.lastAnswer.schedule(end)
 	// Other members serve the requests without a key.
 	d.server.RefuseUnkeyed(true)
 	_ = storage.Sleep(context.Background(), min(notReadyPeriod, d.settings.DrainTimeout/2))
+	d.lastAnswer.refuseLate(end)
 	d.server.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Until(end))
 	defer cancel()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,7 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/config"
+	"fulmarrun/guard"
 	"fulmarrun/owner"
 	"fulmarrun/peer"
 	"fulmarrun/routes"
@@ -222,11 +223,34 @@
 	return response, err
 }
 
+// serveHere serves the request at the target beside this daemon. A run that may not be repeated
+// goes on after its caller has left, but is not waited for.
+func (f *Forwarder) serveHere(ctx context.Context, req *wire.Request) (*wire.Response, error) {
+	if req.Epoch == 0 || !req.Policy.AtMostOnce {
+		return f.ownServer.Serve(ctx, req), nil
+	}
+	served := make(chan *wire.Response, 1)
+	var panicked error
+	go func() {
+		defer close(served)
+		panicked = guard.Run(func() { served <- f.ownServer.Serve(ctx, req) })
+	}()
+	select {
+	case response, ok := <-served:
+		if !ok {
+			return nil, fmt.Errorf("serve here: %w", panicked)
+		}
+		return response, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("serve here: %w", context.Cause(ctx))
+	}
+}
+
 // deliver serves the request here if it is for this daemon, and calls the other
 // daemon otherwise.
 func (f *Forwarder) deliver(ctx context.Context, to *routes.Owner, req *wire.Request) (*wire.Response, error) {
 	if to.Generation == f.ownServer.ServingState().Generation {
-		return f.ownServer.Serve(ctx, req), nil
+		return f.serveHere(ctx, req)
 	}
 	sentAt := time.Now()
 	req.Known = f.statements.known(to.Instance, sentAt)
