--- a/forward/running_test.go
+++ b/forward/running_test.go
@@ -16,7 +16,10 @@
 // cancelled the try, and answered 502 if the next one failed or wasn't allowed.
 func TestRunningTryGivenUp(t *testing.T) {
 	const answer, unknown = wire.OutcomeAnswered, wire.OutcomeUnknown
-	unlimited := admission.WithRetryRatio(10)
+	unlimited := []admission.Option{admission.WithRetryRatio(10)}
+	none := []admission.Option{admission.WithRetryRatio(0), admission.WithRetryFloor(0)}
+	move := func(w *testDaemon) { w.assignSlot(3, 2) }
+	closeOwner := func(w *testDaemon) { w.closeMember(2) }
 	for _, tc := range []struct {
 		name string
 		// change is what happens while the request is at its owner.
@@ -28,17 +31,11 @@
 		want    wire.Outcome
 		tries   int
 	}{
-		{"key moved, the next owner refuses", func(w *testDaemon) { w.assignSlot(3, 2) }, refused, []admission.Option{unlimited}, true, answer, 2},
-		{"key moved, the next owner fails", func(w *testDaemon) { w.assignSlot(3, 2) }, unknownOutcome, []admission.Option{unlimited}, true, answer, 2},
-		{
-			"key moved, no retry allowed", func(w *testDaemon) { w.assignSlot(3, 2) }, answered,
-			[]admission.Option{admission.WithRetryRatio(0), admission.WithRetryFloor(0)}, true, answer, 1,
-		},
-		{
-			"generation closed, no retry allowed", func(w *testDaemon) { w.closeMember(2) }, answered,
-			[]admission.Option{admission.WithRetryRatio(0), admission.WithRetryFloor(0)}, true, answer, 1,
-		},
-		{"owner does not respond, the next owner refuses", func(w *testDaemon) { w.assignSlot(3, 2) }, refused, []admission.Option{unlimited}, false, unknown, 2},
+		{"key moved, the next owner refuses", move, refused, unlimited, true, answer, 2},
+		{"key moved, the next owner fails", move, unknownOutcome, unlimited, true, answer, 2},
+		{"key moved, no retry allowed", move, answered, none, true, answer, 1},
+		{"generation closed, no retry allowed", closeOwner, answered, none, true, answer, 1},
+		{"owner does not respond, the next owner refuses", move, refused, unlimited, false, unknown, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
