--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,6 +121,7 @@
 	leave   chan string
 	leaving atomic.Bool
 
+	// lastAnswer ends the requests of callers before the process ends.
 	lastAnswer *lastAnswer
 	// ended is closed when a daemon that stops for a restart of its process has finished.
 	ended   chan struct{}
--- a/daemon/requests.go
+++ b/daemon/requests.go
@@ -35,8 +35,8 @@
 	response := d.lastAnswer.refusal(kind, req)
 	if response == nil {
 		limited, done := d.lastAnswer.limit(ctx)
+		defer done()
 		response = d.forwarder.Route(limited, kind, req)
-		done()
 	}
 	took := time.Since(startedAt)
 	d.counters.countRequest(req.Service, kind.Name, response, took)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -33,8 +33,8 @@
 
 // lastAnswer limits the requests of callers to the remaining life of a process that stops.
 type lastAnswer struct {
-	// due is when the last answers are sent; nil until the daemon takes only requests that
-	// are answered by then.
+	// due is when the last answers are sent. It is nil as long as requests are taken whatever
+	// their time limit.
 	due atomic.Pointer[time.Time]
 	// ends is cancelled when the last answers are due.
 	ends   context.Context
@@ -52,7 +52,7 @@
 	time.AfterFunc(max(clock.Until(end)-answerMargin, 0), l.cancel)
 }
 
-// refuseLate makes request refuse what may take longer than the process lives.
+// refuseLate makes refusal refuse requests that may take longer than the process lives.
 func (l *lastAnswer) refuseLate(end time.Time) {
 	due := end.Add(-answerMargin)
 	l.due.Store(&due)
