--- a/daemon/doubts.go
+++ b/daemon/doubts.go
@@ -2,32 +2,32 @@
 
 import "sync"
 
-// doubts tells whoever waits for an answer of the store that this answer may never come.
-// It is safe for concurrent use.
+// doubts reports that answers of the store that are still awaited may be lost. It is safe for
+// concurrent use.
 type doubts struct {
 	mu sync.Mutex
 	// next is closed at the next doubt; nil while nobody waits for it.
 	next chan struct{}
 }
 
-// raise wakes all who wait.
-func (s *doubts) raise() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.next != nil {
-		close(s.next)
-		s.next = nil
+// raise closes the channel that wait has returned.
+func (d *doubts) raise() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next != nil {
+		close(d.next)
+		d.next = nil
 	}
 }
 
 // wait returns a channel that is closed at the next doubt.
-func (s *doubts) wait() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.next == nil {
-		s.next = make(chan struct{})
+func (d *doubts) wait() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next == nil {
+		d.next = make(chan struct{})
 	}
-	return s.next
+	return d.next
 }
 
 // StoreDoubted returns a channel that is closed once a call that waits for the store may have
@@ -35,6 +35,6 @@
 // lease, and with it the peers that would tell of such a loss.
 func (d *Daemon) StoreDoubted() <-chan struct{} { return d.storeDoubts.wait() }
 
-// Isolated reports whether the daemon has lost its lease, because too few peers answer it. It
+// Isolated reports whether the daemon has lost its lease, so that peers may not notify it. It
 // returns false before the first lease.
 func (d *Daemon) Isolated() bool { return d.leased.Load() && !d.server.HasLease() }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -23,9 +23,6 @@
 	// answerMargin is the time before the end of the process for the last answers to reach
 	// their callers.
 	answerMargin = 100 * time.Millisecond
-	// stoppedRetryAfter is the Retry-After of a request that comes too late to be served
-	// before the process ends. The next process takes requests after about that time.
-	stoppedRetryAfter = time.Second
 )
 
 // errProcessEnds cancels the requests that are still running when the process has to end.
@@ -65,12 +62,7 @@
 	if due == nil || req.Wait <= clock.Until(*due) {
 		return nil
 	}
-	r := wire.Refuse(owner.ReasonStopped, stoppedRetryAfter)
-	if kind.Deduplicated() && !req.FirstAttempt {
-		// An earlier attempt with the same ID may have run.
-		r.Outcome = wire.OutcomeUnknown
-	}
-	return r
+	return owner.RefuseUnchecked(req, kind, owner.ReasonStopped)
 }
 
 // limit returns a context that also ends when the last answers are due.
--- a/owner/server.go
+++ b/owner/server.go
@@ -280,7 +280,7 @@
 			return misrouted(ReasonNotOwner)
 		}
 		if state.NoWitness {
-			return refuseUnchecked(req, kind, ReasonNoWitness)
+			return RefuseUnchecked(req, kind, ReasonNoWitness)
 		}
 		if !s.lease.valid() {
 			return misrouted(ReasonNoLease)
@@ -299,20 +299,20 @@
 			return s.confirmRefusal(s.serveUnit(ctx, j, unit, route))
 		}
 		if s.noWait {
-			return refuseUnchecked(req, kind, ReasonMoving)
+			return RefuseUnchecked(req, kind, ReasonMoving)
 		}
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return refuseUnchecked(req, kind, ReasonMoving)
+			return RefuseUnchecked(req, kind, ReasonMoving)
 		}
 	}
 }
 
-// refuseUnchecked returns the answer to an attempt that did not run and for which no
+// RefuseUnchecked returns the answer to an attempt that did not run and for which no
 // ledger was checked. If the caller chose the request ID, an earlier attempt with that
 // ID may have run, and only the owner can rule that out by its ledger.
-func refuseUnchecked(req *wire.Request, kind *config.Kind, reason string) *wire.Response {
+func RefuseUnchecked(req *wire.Request, kind *config.Kind, reason string) *wire.Response {
 	r := wire.Refuse(reason, leaseRetry)
 	if kind.Deduplicated() && !req.FirstAttempt {
 		r.Outcome = wire.OutcomeUnknown
