budget, daemon: one account of memory and connections for all clients

Callers saw: a crowd of clients that send part of a request and stop, do not read their answers or only connect made a process take more memory than its machine has, and use up its descriptors.

Cause: bodies, heads, requests that are read ahead, answers and connections were bounded for each client, and nothing bounded the sum.

Change: package budget holds one account for the clients of all listeners. Connections, heads, bodies, calls of peers and answers are charged to it. When there is no room, the clients that the process waits for are evicted, those first that have held most for longest, and never one whose request is served. If that makes no room, the request is refused before it is routed (503). The number of descriptors comes by a flag of the deploy file. Bodies no longer wait for the pool of long messages.

Ruled out: shorter time limits (the memory peaks before any that an ordinary client bears); a limit for each case, which is too low for one in calm or too high for all together.

--- a/buffer/pool.go
+++ b/buffer/pool.go
@@ -143,3 +143,20 @@
 	}
 	return n, false, nil
 }
+
+// ReadWhole reads r to its end without reserving capacity, for messages whose memory is bounded elsewhere.
+// The memory in use follows the bytes received, also if more is declared. declared is the length of the message in bytes; negative if it is unknown. ReadWhole returns
+// ErrTooLong as soon as more than limit bytes are declared or read.
+func (p *Pool) ReadWhole(r io.Reader, declared, limit int64) ([]byte, error) {
+	if declared > limit {
+		return nil, ErrTooLong
+	}
+	if declared >= firstSegmentSize {
+		declared = -1
+	}
+	data, err := p.readSegments(r, declared, limit+1)
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrTooLong
+	}
+	return data, err
+}
--- a/buffer/pool_test.go
+++ b/buffer/pool_test.go
@@ -93,3 +93,40 @@
 // beyondSmall is how many bytes a reader reads beyond SmallMessageSize only after it
 // has reserved capacity.
 const beyondSmall = 64 << 10
+
+// TestReadWhole checks that a message that is read without capacity arrives whole, and that what is declared
+// and does not arrive takes no memory.
+func TestReadWhole(t *testing.T) {
+	const limit = 300 << 10
+	for _, tc := range []struct {
+		name           string
+		size, declared int
+		err            error
+	}{
+		{"empty", 0, 0, nil},
+		{"small", 1000, 1000, nil},
+		{"long", limit, limit, nil},
+		{"length not declared", limit, -1, nil},
+		{"one byte over the limit", limit + 1, -1, buffer.ErrTooLong},
+		{"declared length over the limit", 10, limit + 1, buffer.ErrTooLong},
+	} {
+		want := bytes.Repeat([]byte("abcdefg"), tc.size/7+1)[:tc.size]
+		got, err := buffer.NewPool(1).ReadWhole(bytes.NewReader(want), int64(tc.declared), limit)
+		if !errors.Is(err, tc.err) || err == nil && !bytes.Equal(got, want) {
+			t.Errorf("%s: %d bytes, error %v; want %d, %v", tc.name, len(got), err, tc.size, tc.err)
+		}
+	}
+	// No reader asks for more than it gets.
+	asked := 0
+	stalled := readerFunc(func(p []byte) (int, error) {
+		asked = max(asked, len(p))
+		return 0, io.ErrUnexpectedEOF
+	})
+	if _, err := buffer.NewPool(1).ReadWhole(stalled, limit, limit); !errors.Is(err, io.ErrUnexpectedEOF) || asked > 64<<10 {
+		t.Errorf("error %v, a buffer of %d bytes", err, asked)
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/caller/body.go
+++ b/caller/body.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -9,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/budget"
 	"fulmarrun/buffer"
 	"fulmarrun/wire"
 )
@@ -20,13 +20,11 @@
 const (
 	// minBodyTimeout is the minimum time that a caller has for sending its body.
 	minBodyTimeout = time.Second
-	// bufferRetryAfter is the Retry-After of a request with a long body for which the
-	// buffer pool had no room.
+	// bufferRetryAfter is the Retry-After of a request for whose body there was no room.
 	bufferRetryAfter = 500 * time.Millisecond
 )
 
-// ReadBody reads the whole body of a request, up to limit bytes. A body longer than
-// buffer.SmallMessageSize waits for capacity in the pool. If the caller does not send
+// ReadBody reads the whole body of a request, up to limit bytes. If the caller does not send
 // the whole body within timeout, or one second if that is longer, ReadBody fails.
 func ReadBody(w http.ResponseWriter, r *http.Request, pool *buffer.Pool, limit int64, timeout time.Duration) ([]byte, error) {
 	if r.ContentLength == 0 || r.Body == nil {
@@ -36,9 +34,7 @@
 	controller := http.NewResponseController(w)
 	// In tests the connection may not support deadlines; the error is ignored then.
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
-	defer cancel()
-	body, err := pool.ReadAll(ctx, r.Body, r.ContentLength, limit)
+	body, err := pool.ReadWhole(r.Body, r.ContentLength, limit)
 	if err != nil {
 		// The deadline stays, so that the server does not wait for the rest of the body
 		// either.
@@ -56,7 +52,7 @@
 		return reject(http.StatusRequestEntityTooLarge, reasonBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return reject(http.StatusRequestTimeout, reasonBody)
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, budget.ErrNoRoom):
 		return wire.Refuse(reasonNoBuffer, bufferRetryAfter)
 	}
 	return reject(http.StatusBadRequest, reasonBody)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -70,8 +70,9 @@
 	table     func() *config.Table
 	route     func(context.Context, *config.Kind, *wire.Request) *wire.Response
 	maxBody   int64
-	pool      *buffer.Pool
 	onRefusal func(*http.Request, string, *wire.Response)
+	// pool reads the bodies.
+	pool *buffer.Pool
 }
 
 // NewHandler returns a handler that looks up the kind of a request in the current
--- a/cli/app.go
+++ b/cli/app.go
@@ -36,10 +36,18 @@
 	return func(a *App) { a.daemon = run }
 }
 
+// PlatformArguments are the arguments of the command platform.
+type PlatformArguments struct {
+	// Settings is the name of the settings file.
+	Settings string
+	// Descriptors is how many file descriptors the process may use; zero if not specified.
+	Descriptors int
+}
+
 // WithPlatform is a functional option that sets the function of the command
 // platform. It must read the settings from the named file, and serve until its
 // context ends.
-func WithPlatform(run func(ctx context.Context, file string, logger *log.Logger) error) Option {
+func WithPlatform(run func(ctx context.Context, args PlatformArguments, logger *log.Logger) error) Option {
 	return func(a *App) { a.platform = run }
 }
 
@@ -60,7 +68,7 @@
 	stdout   io.Writer
 	stderr   io.Writer
 	daemon   func(context.Context, config.Settings, *log.Logger) error
-	platform func(context.Context, string, *log.Logger) error
+	platform func(ctx context.Context, args PlatformArguments, logger *log.Logger) error
 	demo     func(context.Context, io.Writer, *log.Logger) error
 	log      *log.Logger
 }
--- a/cmd/fulmarrun/main.go
+++ b/cmd/fulmarrun/main.go
@@ -21,15 +21,16 @@
 	os.Exit(app.Main(context.Background(), os.Args[1:]))
 }
 
-func runPlatform(ctx context.Context, file string, logger *log.Logger) error {
-	data, err := os.ReadFile(file)
+func runPlatform(ctx context.Context, args cli.PlatformArguments, logger *log.Logger) error {
+	data, err := os.ReadFile(args.Settings)
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	settings, err := platform.ParseSettings(file, data)
+	settings, err := platform.ParseSettings(args.Settings, data)
 	if err != nil {
 		return fmt.Errorf("check settings: %w", err)
 	}
+	settings.Descriptors = args.Descriptors
 	if err := platform.Run(ctx, *settings, logger); err != nil {
 		return fmt.Errorf("run daemon: %w", err)
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -16,11 +17,14 @@
 // assembleCallerServer creates the HTTP server for callers.
 func (d *Daemon) assembleCallerServer() {
 	handler, mayStartEarly := d.callerHandler()
-	d.ingress = pipeline.New(d.recoverPanics(d.closeWhenLeaving(handler)), pipeline.WithEarlyStart(func(r *http.Request) bool {
+	d.ingress = pipeline.New(chargeClient(d.recoverPanics(d.closeWhenLeaving(handler))), pipeline.WithEarlyStart(func(r *http.Request) bool {
 		return !d.leaving.Load() && mayStartEarly(r)
-	}))
+	}), pipeline.WithRecordedCharge(chargeRecorded))
 	d.callerServer = &http.Server{
-		Handler: d.ingress, ConnContext: pipeline.ConnContext,
+		Handler: d.ingress, ConnState: releaseIdle,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return pipeline.ConnContext(clientContext(ctx, conn), conn)
+		},
 		MaxHeaderBytes: d.settings.MaxHeader, ReadHeaderTimeout: headerTimeout,
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"fulmarrun/admission"
 	"fulmarrun/audit"
+	"fulmarrun/budget"
 	"fulmarrun/clock"
 	"fulmarrun/config"
 	"fulmarrun/control"
@@ -75,10 +76,16 @@
 	// condition is what the target states about itself in its answers.
 	condition    targetCondition
 	callerServer *http.Server
-	ingress      *pipeline.Ingress
-	applier      *operator.Applier
-	configCache  *configCache
-	counters     *counters
+	// clients is the budget that the clients of all listeners share, and peerCalls what calls of other
+	// daemons use of it. budgetOptions and descriptors are passed to it.
+	clients       *budget.Account
+	peerCalls     *budget.Client
+	budgetOptions []budget.Option
+	descriptors   int
+	ingress       *pipeline.Ingress
+	applier       *operator.Applier
+	configCache   *configCache
+	counters      *counters
 	// sampler rate-limits the log lines about requests and state changes.
 	sampler *logs.Sampler
 	// configSince is when the current configuration came into force.
@@ -193,6 +200,9 @@
 	d.forwarder = forward.NewForwarder(d.server, d.peers, append(d.forward, forward.WithAdmission(d.admission...))...)
 	d.applier = operator.NewApplier(d.store, operator.WithAudit(d.addAuditEntry))
 	d.configCache = newConfigCache(d.store, d.peers)
+	d.clients = d.newClientBudget()
+	d.peerCalls = d.clients.Open(time.Now(), func() {})
+	d.peerCalls.Keep()
 	d.registerGauges()
 	d.assembleCallerServer()
 }
@@ -259,13 +269,14 @@
 	server := d.peerServer()
 	d.peers.OnPanic(func(err error) { d.logPanic("reply of a peer", err) })
 	server.OnPanic(func(err error) { d.logPanic("call of a peer", err) })
-	d.addServer(g, d.callerServer, d.ingress.Listen(d.listeners.caller))
-	d.addServer(g, d.targetServer(), d.listeners.target)
-	d.addServer(g, d.operatorServer(), d.listeners.operator)
+	d.addServer(g, d.callerServer, d.ingress.Listen(d.listenHTTP(d.listeners.caller)))
+	d.addServer(g, d.targetServer(), d.listenHTTP(d.listeners.target))
+	d.addServer(g, d.operatorServer(), d.listenHTTP(d.listeners.operator))
 	if d.listeners.metrics != nil {
-		d.addServer(g, d.metricsServer(), d.listeners.metrics)
+		d.addServer(g, d.metricsServer(), d.listenHTTP(d.listeners.metrics))
 	}
-	g.Add(func() error { return server.Serve(d.listeners.peer) }, func(error) {
+	peers := &clientListener{Listener: d.listeners.peer, account: d.clients}
+	g.Add(func() error { return server.Serve(peers) }, func(error) {
 		_ = d.listeners.peer.Close()
 		server.Close()
 		d.peers.Close()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -16,7 +16,7 @@
 
 // peerServer returns the server for calls of other daemons.
 func (d *Daemon) peerServer() *peer.Server {
-	s := peer.NewServer(peer.WithMaxFrame(int(d.settings.MaxBody) + frameOverhead))
+	s := peer.NewServer(peer.WithMaxFrame(int(d.settings.MaxBody)+frameOverhead), peer.WithAccount(peerAccount(d.peerCalls)))
 	peer.Handle(s, peer.KindRequest, func(ctx context.Context, q *wire.Request) (*wire.Response, error) {
 		return d.server.Serve(ctx, q), nil
 	})
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -21,7 +21,7 @@
 // newServer returns a server for a target, operators or supervisors.
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, MaxHeaderBytes: config.DefaultMaxHeader,
+		Handler: chargeClient(h), ConnContext: clientContext, ConnState: releaseIdle, MaxHeaderBytes: config.DefaultMaxHeader,
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 	}
 }
--- a/daemon/summary.go
+++ b/daemon/summary.go
@@ -13,7 +13,7 @@
 
 // logSummaries periodically logs a summary of the requests served and refused.
 func (d *Daemon) logSummaries(ctx context.Context) error {
-	before, sentBefore := d.counters.totals(), d.gate.Stats().Admitted
+	before, sentBefore, crowded := d.counters.totals(), d.gate.Stats().Admitted, d.clients.Stats()
 	for storage.Sleep(ctx, summaryInterval) == nil {
 		now := d.counters.totals()
 		stats, condition := d.gate.Stats(), d.condition.current()
@@ -23,6 +23,12 @@
 			logs.FieldInFlight, stats.InFlight, logs.FieldWaiting, stats.Queued, logs.FieldLimit, stats.Limit, logs.FieldOwned, d.status().Slots,
 			logs.FieldSent, stats.Admitted-sentBefore, logs.FieldLimited, condition.RateLimited, logs.FieldRate, condition.RateLimit,
 		)
+		clients := d.clients.Stats()
+		if clients.Evicted+clients.Refused > crowded.Evicted+crowded.Refused {
+			d.log.Warn(logs.EventClientsEvicted, logs.FieldClients, clients.Clients, logs.FieldMemory, clients.Used,
+				logs.FieldEvicted, clients.Evicted-crowded.Evicted, logs.FieldRefused, clients.Refused-crowded.Refused)
+		}
+		crowded = clients
 		d.log.Info(logs.EventSummary, fields...)
 		before, sentBefore = now, stats.Admitted
 	}
--- a/logs/events.go
+++ b/logs/events.go
@@ -21,6 +21,8 @@
 	EventRequestNotServed  = "request not served here"
 	EventRequestSlowHere   = "request slow here"
 
+	EventClientsEvicted = "clients evicted" // since the last summary, to make room for others
+
 	EventRequestLost      = "request lost at the target"
 	EventRequestSuspected = "request suspected" // a target has ended under it
 	EventRequestCleared   = "request cleared"   // a target has answered it
@@ -84,6 +86,7 @@
 	FieldAnswered    = "answered"    // requests answered since the last summary
 	FieldAuthor      = "author"      // operator who applied the configuration
 	FieldChecks      = "checks"      // whether the target checks grants
+	FieldClients     = "clients"     // open connections of clients
 	FieldCold        = "cold"        // how much longer the target is in its cold start
 	FieldConfig      = "config"      // number of the configuration in force
 	FieldConfigAge   = "configage"   // time since the configuration came into force
@@ -92,6 +95,7 @@
 	FieldDrain       = "drain"       // time limit of a graceful stop
 	FieldEpoch       = "epoch"       // epoch of the route; 0 without a key
 	FieldErr         = "err"         // error
+	FieldEvicted     = "evicted"     // clients whose connections were closed to make room for others
 	FieldFingerprint = "fingerprint" // identifies a request by its content
 	FieldFrom        = "from"        // previous owner of the keys, or sender of a message
 	FieldGained      = "gained"      // number of slots that became owned
@@ -117,6 +121,7 @@
 	FieldLost        = "lost"        // number of slots that are no longer owned
 	FieldMember      = "member"      // instance of another daemon
 	FieldMembers     = "members"     // number of known daemons
+	FieldMemory      = "memory"      // memory that is charged to clients, in bytes
 	FieldNumber      = "number"      // number of a configuration
 	FieldOut         = "out"         // whether a domain is out of service
 	FieldOutcome     = "outcome"     // answered, not-run or unknown
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -66,6 +66,8 @@
 	ErrFrameTooLong = errors.New("frame too long")
 	// ErrFrameTooShort is returned for a frame that is shorter than its header.
 	ErrFrameTooShort = errors.New("frame too short")
+
+	errNoRoom = errors.New("no room for more of this frame")
 )
 
 // Frame is one message on a connection. The next read from the same FrameReader
@@ -100,11 +102,16 @@
 	maxLength int
 	buf       []byte
 	readFull  func(io.Reader, []byte) (int, error)
+	// reserve and release charge a body that is longer than bufferSize, of which charged bytes are
+	// charged.
+	reserve func(bytes int64) bool
+	release func(bytes int64)
+	charged int64
 }
 
 // NewFrameReader returns a reader that rejects frames longer than limit bytes.
 func NewFrameReader(stream io.Reader, limit int) *FrameReader {
-	return &FrameReader{stream: bufio.NewReaderSize(stream, bufferSize), maxLength: limit, readFull: io.ReadFull}
+	return &FrameReader{stream: bufio.NewReaderSize(stream, bufferSize), maxLength: limit, readFull: io.ReadFull, reserve: func(int64) bool { return true }, release: func(int64) {}}
 }
 
 // Next returns the next frame. The following call overwrites its body.
@@ -137,6 +144,10 @@
 // readBody reads n bytes in steps of bufferSize and grows the buffer step by step, so
 // that a false length cannot allocate memory for bytes that never arrive.
 func (f *FrameReader) readBody(n int) ([]byte, error) {
+	if f.charged > 0 {
+		f.release(f.charged)
+		f.charged = 0
+	}
 	if cap(f.buf) > maxReusedBuffer && n <= maxReusedBuffer {
 		f.buf = nil
 	}
@@ -144,6 +155,12 @@
 	for len(f.buf) < n {
 		step := min(n-len(f.buf), bufferSize)
 		start := len(f.buf)
+		if n > bufferSize {
+			if !f.reserve(int64(step)) {
+				return nil, fmt.Errorf("read frame body: %w", errNoRoom)
+			}
+			f.charged += int64(step)
+		}
 		if cap(f.buf) < start+step {
 			f.buf = append(f.buf, make([]byte, step)...)
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,7 @@
 type options struct {
 	maxFrame int
 	maxCalls int
+	account  func(net.Conn) Account
 
 	// Only tests replace the following functions.
 	readFull func(io.Reader, []byte) (int, error)
@@ -33,7 +34,7 @@
 
 func newOptions(opts []Option) options {
 	o := options{
-		maxFrame: DefaultMaxFrame, maxCalls: DefaultMaxCalls,
+		maxFrame: DefaultMaxFrame, maxCalls: DefaultMaxCalls, account: func(net.Conn) Account { return freeAccount() },
 		readFull: io.ReadFull, takeCall: (*clientConn).takePending,
 	}
 	for _, opt := range opts {
@@ -54,6 +55,32 @@
 	return func(o *options) { o.maxCalls = n }
 }
 
+// Account is what a connection to a server is charged for the memory of what arrives on it.
+type Account struct {
+	// Keep is called with each frame of a known kind: the other side is a daemon.
+	Keep func()
+	// Reserve charges a part of a frame, in bytes, and Release returns it once the frame was decoded. If
+	// Reserve reports false, the connection is closed.
+	Reserve func(bytes int64) bool
+	Release func(bytes int64)
+	// Admit charges a call for as long as it runs. If it reports false, the call is refused.
+	Admit func(bytes int64) (release func(), ok bool)
+}
+
+// freeAccount returns an account that charges nothing.
+func freeAccount() Account {
+	return Account{
+		Keep: func() {}, Reserve: func(int64) bool { return true }, Release: func(int64) {},
+		Admit: func(int64) (func(), bool) { return func() {}, true },
+	}
+}
+
+// WithAccount is a functional option that sets the function that returns the account of a connection to
+// a server.
+func WithAccount(account func(net.Conn) Account) Option {
+	return func(o *options) { o.account = account }
+}
+
 // maxIdleWorkers bounds the goroutines of one connection that wait to read a call.
 const maxIdleWorkers = 16
 
@@ -169,9 +196,13 @@
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.untrack(conn)
 	ctx, cancel := context.WithCancel(context.Background())
+	account := s.opts.account(conn)
+	reader := NewFrameReader(conn, s.opts.maxFrame)
+	reader.reserve, reader.release = account.Reserve, account.Release
 	c := &serverConn{
 		server:        s,
-		reader:        NewFrameReader(conn, s.opts.maxFrame),
+		account:       account,
+		reader:        reader,
 		writer:        newFrameWriter(conn),
 		cancelContext: cancel,
 		running:       make(map[uint64]context.CancelFunc),
@@ -197,9 +228,10 @@
 // serverConn is one connection of a peer. One worker goroutine reads at a time; after
 // it has read a call, it hands the right to read to another worker and runs the call.
 type serverConn struct {
-	server *Server
-	reader *FrameReader
-	writer *frameWriter
+	server  *Server
+	account Account
+	reader  *FrameReader
+	writer  *frameWriter
 	// cancelContext cancels the context of the connection.
 	cancelContext context.CancelFunc
 	wg            sync.WaitGroup
@@ -267,6 +299,22 @@
 	if h == nil {
 		return nil, fmt.Errorf("no handler for kind %d: %w", frame.Kind, errBadFrame)
 	}
+	release, ok := c.account.Admit(int64(len(frame.Body)))
+	if !ok {
+		return nil, c.writer.write(kindFailed|replyBit, frame.ID, &wire.Ack{Reason: "full"})
+	}
+	next, err := c.decodeCall(ctx, h, frame)
+	if next == nil {
+		release()
+		return nil, err
+	}
+	c.account.Keep()
+	next.release = release
+	return next, nil
+}
+
+// decodeCall returns the call that a frame starts; nil if the call is refused.
+func (c *serverConn) decodeCall(ctx context.Context, h handler, frame Frame) (*acceptedCall, error) {
 	var run func(context.Context) (msgp.Marshaler, error)
 	var err error
 	if panicked := guard.Run(func() { run, err = h(ctx, frame.Body) }); panicked != nil {
@@ -320,9 +368,12 @@
 	kind   Kind
 	id     uint64
 	run    func(context.Context) (msgp.Marshaler, error)
+	// release returns what is charged for the call.
+	release func()
 }
 
 func (c *serverConn) run(accepted *acceptedCall) {
+	defer accepted.release()
 	var reply msgp.Marshaler
 	var err error
 	if panicked := guard.Run(func() { reply, err = accepted.run(accepted.ctx) }); panicked != nil {
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -73,7 +73,7 @@
 	r.RemoteAddr = c.RemoteAddr().String()
 	early := &call{request: r.WithContext(c.ctx), done: make(chan struct{})}
 	c.ingress.early.Add(1)
-	go early.run(c.ingress.handler)
+	go early.run(c.ingress)
 	return early
 }
 
--- a/pipeline/call.go
+++ b/pipeline/call.go
@@ -13,14 +13,17 @@
 	// done is closed once the recorded answer is complete.
 	done     chan struct{}
 	recorder recorder
+	// release returns what is charged for the recorded answer.
+	release func()
 	// err is a *guard.PanicError if the handler panicked.
 	err error
 }
 
 // run calls the handler and records its answer.
-func (c *call) run(handler http.Handler) {
+func (c *call) run(i *Ingress) {
 	defer close(c.done)
-	c.err = guard.Run(func() { handler.ServeHTTP(&c.recorder, c.request) })
+	c.err = guard.Run(func() { i.handler.ServeHTTP(&c.recorder, c.request) })
+	c.release = i.config.charge(c.request.Context(), c.recorder.body.Len())
 }
 
 // recorder is an http.ResponseWriter that keeps what is written.
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -83,6 +83,13 @@
 	return c.Conn.Close() //nolint:wrapcheck // net/http looks at the error itself.
 }
 
+// ReadAhead returns the size in bytes of what was read and not passed to net/http yet.
+func (c *Conn) ReadAhead() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.received)
+}
+
 // CloseWrite closes the writing side. net/http calls it before it closes a connection.
 func (c *Conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/pipeline/ingress.go
+++ b/pipeline/ingress.go
@@ -25,8 +25,11 @@
 
 type settings struct {
 	mayStartEarly func(*http.Request) bool
-	maxPipelined  int
-	maxReadAhead  int
+	// charge is called with the size of a recorded answer; the function that it returns is called when
+	// the answer is written.
+	charge       func(ctx context.Context, bytes int) (release func())
+	maxPipelined int
+	maxReadAhead int
 
 	// read and sameRequest are replaced by tests only.
 	read        func(data []byte) (head, headStatus)
@@ -40,6 +43,13 @@
 	return func(s *settings) { s.mayStartEarly = may }
 }
 
+// WithRecordedCharge is a functional option that sets a function to call with the size in bytes of each
+// answer that waits until those ahead of it on its connection are written. The function that it returns is
+// called once the answer is written; it is not called if the connection closes before.
+func WithRecordedCharge(charge func(ctx context.Context, bytes int) (release func())) Option {
+	return func(s *settings) { s.charge = charge }
+}
+
 // WithMaxPipelined is a functional option that bounds the requests of one connection
 // that are started early and not answered.
 func WithMaxPipelined(n int) Option {
@@ -49,7 +59,7 @@
 // New returns an Ingress that has next answer the requests.
 func New(handler http.Handler, opts ...Option) *Ingress {
 	i := &Ingress{handler: handler, config: settings{
-		mayStartEarly: func(*http.Request) bool { return false }, maxPipelined: defaultMaxPipelined, maxReadAhead: defaultReadAhead,
+		mayStartEarly: func(*http.Request) bool { return false }, charge: func(context.Context, int) func() { return func() {} }, maxPipelined: defaultMaxPipelined, maxReadAhead: defaultReadAhead,
 		read: readHead, sameRequest: sameRequest,
 	}}
 	for _, opt := range opts {
@@ -131,6 +141,7 @@
 		panic(panicValue(early.err))
 	}
 	early.recorder.writeTo(out)
+	early.release()
 }
 
 // panicValue returns what net/http is to be panicked with: it compares with ErrAbortHandler
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -87,7 +87,7 @@
 // stopped responding. It does nothing for a connection that is not TCP.
 func SetTimeouts(conn net.Conn, opts ...Option) {
 	o := newOptions(opts)
-	c, ok := conn.(*net.TCPConn)
+	c, ok := unwrap(conn)
 	if !ok {
 		return
 	}
@@ -102,7 +102,7 @@
 // ClosedByPeer reports whether the other side has closed or reset the connection, or it
 // has timed out. It does not block and does not consume received bytes.
 func ClosedByPeer(conn net.Conn) bool {
-	c, ok := conn.(*net.TCPConn)
+	c, ok := unwrap(conn)
 	if !ok {
 		return false
 	}
@@ -119,3 +119,15 @@
 	})
 	return closed || err != nil
 }
+
+// unwrap returns the TCP connection within a connection. It reports false if there is none.
+func unwrap(conn net.Conn) (*net.TCPConn, bool) {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			c, ok := conn.(*net.TCPConn)
+			return c, ok
+		}
+		conn = wrapper.NetConn()
+	}
+}
