daemon: a listener outlasts a moment without file descriptors

The servers of net/http try again by themselves.

Change: the listeners of clients evict those that were waited for longest and try again.

--- a/budget/account.go
+++ b/budget/account.go
@@ -100,6 +100,15 @@
 	return c
 }
 
+// Evict evicts the clients that the process has waited for longest.
+func (a *Account) Evict(now time.Time) {
+	a.mu.Lock()
+	victims := a.longestWaiting(now)
+	a.remove(victims)
+	a.mu.Unlock()
+	evictAll(victims)
+}
+
 // longestWaiting returns the clients that the process has waited for longest, up to a part of all. The
 // caller holds the lock.
 func (a *Account) longestWaiting(now time.Time) []*Client {
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -24,6 +24,9 @@
 	// rest is for connections to other daemons, the target and the platform.
 	clientShare        = 3
 	clientShareDivisor = 4
+	// acceptRetry is the time between two tries to accept a connection for which there was no
+	// descriptor.
+	acceptRetry = 10 * time.Millisecond
 )
 
 // WithClientBudget is a functional option that passes options to the budget that the clients of all
@@ -60,10 +63,16 @@
 	chargeHeads bool
 }
 
-// Accept waits for the next connection for which there is room, and closes those before it.
+// Accept waits for the next connection for which there is room, and closes those before it. While the
+// process has no descriptors left, it evicts clients.
 func (l *clientListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
+		if isExhausted(err) {
+			l.account.Evict(time.Now())
+			time.Sleep(acceptRetry)
+			continue
+		}
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http looks at the error itself.
 		}
@@ -75,6 +84,17 @@
 	}
 }
 
+// isExhausted reports whether a connection could not be accepted for want of resources, or was
+// closed before.
+func isExhausted(err error) bool {
+	for _, errno := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // listenHTTP returns a listener for the HTTP requests of clients.
 func (d *Daemon) listenHTTP(l net.Listener) net.Listener {
 	return &clientListener{Listener: l, account: d.clients, chargeHeads: true}
--- a/daemon/export_test.go
+++ b/daemon/export_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"fulmarrun/budget"
 	"fulmarrun/clock"
 	"fulmarrun/routes"
 	"fulmarrun/wire"
@@ -20,6 +22,11 @@
 	return true
 }
 
+// NewClientListener returns a listener whose connections are charged to an account.
+func NewClientListener(l net.Listener, account *budget.Account) net.Listener {
+	return &clientListener{Listener: l, account: account, chargeHeads: true}
+}
+
 // AdoptCondition records what another daemon knows about the target.
 func (d *Daemon) AdoptCondition(known *wire.TargetCondition) { d.adoptCondition(known) }
 
