--- a/cli/app.go
+++ b/cli/app.go
@@ -42,6 +42,9 @@
 	Settings string
 	// Descriptors is how many file descriptors the process may use; zero if not specified.
 	Descriptors int
+	// ReadRate is how many reads a second the platform's store takes from all daemons together; zero if not
+	// specified.
+	ReadRate float64
 }
 
 // WithPlatform is a functional option that sets the function of the command
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -325,3 +325,18 @@
 	})
 	execute([]cli.Option{demo}, "demo").check(t, cli.CodeOK, "left\n", "")
 }
+
+// TestPlatformArguments checks that the arguments of the command platform reach its function.
+func TestPlatformArguments(t *testing.T) {
+	var got cli.PlatformArguments
+	app := cli.New(cli.WithPlatform(func(_ context.Context, args cli.PlatformArguments, _ *log.Logger) error {
+		got = args
+		return nil
+	}))
+	if code := app.Main(t.Context(), []string{"platform", "--settings", "boot.json", "--descriptors", "4100", "--reads", "2000"}); code != 0 {
+		t.Fatalf("exit code %d", code)
+	}
+	if want := (cli.PlatformArguments{Settings: "boot.json", Descriptors: 4100, ReadRate: 2000}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -22,8 +22,9 @@
 The exit code is 3 if the settings are invalid.`
 
 type platformCommand struct {
-	Settings    string `long:"settings" value-name:"FILE" env:"FULMARRUN_SETTINGS" required:"yes" description:"Settings of this daemon"`
-	Descriptors int    `long:"descriptors" value-name:"N" description:"How many file descriptors the process may use, if that is less than its own limit"`
+	Settings    string  `long:"settings" value-name:"FILE" env:"FULMARRUN_SETTINGS" required:"yes" description:"Settings of this daemon"`
+	Descriptors int     `long:"descriptors" value-name:"N" description:"How many file descriptors the process may use, if that is less than its own limit"`
+	Reads       float64 `long:"reads" value-name:"N" description:"How many reads a second the platform's store takes from all daemons together"`
 	app         *App
 	ctx         context.Context
 }
@@ -50,6 +51,6 @@
 	}()
 	defer logger.Info(logs.EventProcessEnd, logs.FieldPID, os.Getpid())
 	return untilSignal(c.ctx, func(ctx context.Context) error {
-		return c.app.platform(ctx, PlatformArguments{Settings: c.Settings, Descriptors: c.Descriptors}, logger)
+		return c.app.platform(ctx, PlatformArguments{Settings: c.Settings, Descriptors: c.Descriptors, ReadRate: c.Reads}, logger)
 	})
 }
--- a/cmd/fulmarrun/main.go
+++ b/cmd/fulmarrun/main.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("check settings: %w", err)
 	}
-	settings.Descriptors = args.Descriptors
+	settings.Descriptors, settings.ReadRate = args.Descriptors, args.ReadRate
 	if err := platform.Run(ctx, *settings, logger); err != nil {
 		return fmt.Errorf("run daemon: %w", err)
 	}
