daemon: the suspects' store is made with them; clients of a process with few descriptors

What was made at the first use is made at the start. A process with 200 descriptors or fewer no longer gets the default number of clients, and one with fewer than 800 keeps a quarter of them for files.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -49,8 +49,9 @@
 		descriptors = limit.Cur
 	}
 	var opts []budget.Option
-	if descriptors > reservedDescriptors {
-		opts = append(opts, budget.WithClients(int((descriptors-reservedDescriptors)/clientShareDivisor*clientShare)))
+	if descriptors > 0 {
+		descriptors -= min(reservedDescriptors, descriptors/clientShareDivisor)
+		opts = append(opts, budget.WithClients(int(descriptors/clientShareDivisor*clientShare)))
 	}
 	return budget.NewAccount(append(opts, d.budgetOptions...)...)
 }
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"fmt"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -49,12 +48,12 @@
 	life       string
 	targetLife atomic.Uint64
 	ended      atomic.Bool
-	store      suspectStore
+	store      *suspectStore
 }
 
 func newSuspects() *suspects {
 	ledger := quarantine.NewLedger()
-	return &suspects{ledger: ledger, target: quarantine.NewTarget(ledger), life: newID()}
+	return &suspects{ledger: ledger, target: quarantine.NewTarget(ledger), life: newID(), store: newSuspectStore()}
 }
 
 // fingerprint returns the fingerprint of a request. Headers differ between copies of a request, but
@@ -241,11 +240,3 @@
 	}
 }
 
-// decodeSuspect reads the row of a suspect.
-func decodeSuspect(value []byte) (wire.Suspect, error) {
-	var s wire.Suspect
-	if err := wire.Decode(value, &s); err != nil {
-		return s, fmt.Errorf("decode suspect: %w", err)
-	}
-	return s, nil
-}
--- a/daemon/suspectstore.go
+++ b/daemon/suspectstore.go
@@ -31,8 +31,12 @@
 	mu sync.Mutex
 	// stored holds the value that was stored last, and the timeline of the store that it is in.
 	stored map[wire.Fingerprint]storedSuspect
-	woken  chan struct{}
-	once   sync.Once
+	// woken wakes storeSuspects.
+	woken chan struct{}
+}
+
+func newSuspectStore() *suspectStore {
+	return &suspectStore{stored: make(map[wire.Fingerprint]storedSuspect), woken: make(chan struct{}, 1)}
 }
 
 type storedSuspect struct {
@@ -40,15 +44,10 @@
 	timeline uint64
 }
 
-func (s *suspectStore) channel() chan struct{} {
-	s.once.Do(func() { s.woken, s.stored = make(chan struct{}, 1), make(map[wire.Fingerprint]storedSuspect) })
-	return s.woken
-}
-
 // wake has the requests that are shut out stored.
 func (s *suspectStore) wake() {
 	select {
-	case s.channel() <- struct{}{}:
+	case s.woken <- struct{}{}:
 	default:
 	}
 }
@@ -58,14 +57,13 @@
 // storeSuspects stores the requests that are shut out, until ctx ends. Only the daemons beside the
 // targets that have ended under a request write its row.
 func (d *Daemon) storeSuspects(ctx context.Context) error {
-	woken := d.suspects.store.channel()
 	timer := time.NewTimer(suspectStoreRetry)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-woken:
+		case <-d.suspects.store.woken:
 		case <-timer.C:
 		}
 		if err := d.storeOwnSuspects(ctx); err != nil && ctx.Err() == nil {
@@ -75,9 +73,11 @@
 	}
 }
 
+// storeOwnSuspects writes the rows of requests that are shut out, and removes those of requests that are no
+// longer suspects.
 func (d *Daemon) storeOwnSuspects(ctx context.Context) error {
 	now := time.Now()
-	ledger, stored := d.suspects.ledger, &d.suspects.store
+	ledger, stored := d.suspects.ledger, d.suspects.store
 	stored.mu.Lock()
 	defer stored.mu.Unlock()
 	for _, s := range ledger.ShutOut(now) {
@@ -183,7 +183,8 @@
 		if r.Deleted {
 			continue
 		}
-		s, err := decodeSuspect(r.Value)
+		var s wire.Suspect
+		err := wire.Decode(r.Value, &s)
 		if err != nil || suspectKey(s.Fingerprint) != r.Key {
 			d.log.Warn(logs.EventRowSkipped, logs.FieldKey, r.Key, logs.FieldErr, err)
 			continue
@@ -191,8 +192,7 @@
 		read = append(read, s)
 	}
 	d.logSuspects(d.suspects.ledger.Merge(now, read))
-	stored := &d.suspects.store
-	stored.channel()
+	stored := d.suspects.store
 	stored.mu.Lock()
 	defer stored.mu.Unlock()
 	for _, s := range read {
