budget, daemon: bound what requests ahead and long bodies take

Cause of the first: of a connection that sends requests ahead up to 16 are served at once, and it isn't evicted while one of them is. Their answers were charged without a bound. Of the second: bodies no longer wait for the pool of long messages, and each byte takes more than one: segments, and the joined copy, also of a body that is over the limit.

Change: a request is charged for itself while it is served, and refused if it has no room. Requests ahead are started side by side only while half of the memory is free, and a connection whose recorded answers have no room is closed. Bodies are charged twice, and one over the limit isn't joined.

--- a/budget/account.go
+++ b/budget/account.go
@@ -10,7 +10,10 @@
 const (
 	// ClientCost is the memory that a connection takes by itself, in bytes: its buffers, and the
 	// stacks of two goroutines.
-	ClientCost = 24 << 10
+	ClientCost = 16 << 10
+
+	// RequestCost is the memory that a request takes by itself while it is served, in bytes.
+	RequestCost = 16 << 10
 
 	// defaultMemory is the memory of an account in bytes, defaultClients the number of its clients.
 	defaultMemory  = 64 << 20
@@ -18,6 +21,8 @@
 	// evictDivisor sets how many clients are evicted at once to make room for another one: the most
 	// that there may be, divided by this. Choosing them looks at all.
 	evictDivisor = 64
+	// plentyDivisor sets up to which part of the memory there is plenty.
+	plentyDivisor = 2
 )
 
 // Option configures an Account.
@@ -100,6 +105,14 @@
 	return c
 }
 
+// Plenty reports whether half of the memory or more is free, so that requests may be served side by side
+// that could also be served one after the other.
+func (a *Account) Plenty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used <= a.memory/plentyDivisor
+}
+
 // Evict evicts the clients that the process has waited for longest.
 func (a *Account) Evict(now time.Time) {
 	a.mu.Lock()
--- a/buffer/pool.go
+++ b/buffer/pool.go
@@ -154,9 +154,20 @@
 	if declared >= firstSegmentSize {
 		declared = -1
 	}
-	data, err := p.readSegments(r, declared, limit+1)
-	if err == nil && int64(len(data)) > limit {
-		return nil, ErrTooLong
+	return p.readSegments(&boundedReader{r: r, left: limit}, declared, limit+1)
+}
+
+// boundedReader fails with ErrTooLong once more than left bytes were read.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read reads from the wrapped reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return n, ErrTooLong
 	}
-	return data, err
+	return n, err //nolint:wrapcheck // readSegments looks for the end of the message, and wraps the others.
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -18,7 +18,7 @@
 func (d *Daemon) assembleCallerServer() {
 	handler, mayStartEarly := d.callerHandler()
 	d.ingress = pipeline.New(chargeClient(d.recoverPanics(d.closeWhenLeaving(handler))), pipeline.WithEarlyStart(func(r *http.Request) bool {
-		return !d.leaving.Load() && mayStartEarly(r)
+		return !d.leaving.Load() && d.clients.Plenty() && mayStartEarly(r)
 	}), pipeline.WithRecordedCharge(chargeRecorded))
 	d.callerServer = &http.Server{
 		Handler: d.ingress, ConnState: releaseIdle,
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -195,9 +195,13 @@
 		}
 		e := &exchange{conn: c}
 		defer e.end()
-		if r.Body == nil || r.Body == http.NoBody {
+		switch {
+		case !e.reserve(budget.RequestCost):
+			// Handlers refuse a request whose body can't be read, each in its own way.
+			r.Body, r.ContentLength = noRoom{}, -1
+		case r.Body == nil || r.Body == http.NoBody:
 			e.serve()
-		} else {
+		default:
 			r.Body = &clientBody{ReadCloser: r.Body, exchange: e}
 		}
 		next.ServeHTTP(&clientWriter{ResponseWriter: w, exchange: e}, r)
@@ -207,9 +211,18 @@
 // exchange is one request of a client and its answer.
 type exchange struct {
 	conn *clientConn
-	// body is what is charged for the body of the request, in bytes.
-	body   int64
-	served bool
+	// charged is what is charged for the request, in bytes.
+	charged int64
+	served  bool
+}
+
+// reserve charges memory for the request, and reports whether there is room.
+func (e *exchange) reserve(n int64) bool {
+	if !e.conn.client.Reserve(time.Now(), n) {
+		return false
+	}
+	e.charged += n
+	return true
 }
 
 // serve records that the whole request has arrived.
@@ -224,9 +237,18 @@
 	if e.served {
 		e.conn.client.Wait(time.Now())
 	}
-	e.conn.client.Release(e.body)
+	e.conn.client.Release(e.charged)
 }
 
+// noRoom is the body of a request for which there is no room.
+type noRoom struct{}
+
+// Read fails.
+func (noRoom) Read([]byte) (int, error) { return 0, budget.ErrNoRoom }
+
+// Close does nothing.
+func (noRoom) Close() error { return nil }
+
 // clientBody is the body of a request, which is charged as it is read.
 type clientBody struct {
 	io.ReadCloser
@@ -239,10 +261,9 @@
 	e.conn.bodies.Add(1)
 	n, err := b.ReadCloser.Read(p)
 	e.conn.bodies.Add(-1)
-	if n > 0 && !e.conn.client.Reserve(time.Now(), int64(n)) {
+	if n > 0 && !e.reserve(budget.BodyCost(n)) {
 		return 0, budget.ErrNoRoom
 	}
-	e.body += int64(n)
 	if errors.Is(err, io.EOF) {
 		e.serve()
 	}
@@ -270,13 +291,18 @@
 // Unwrap returns the wrapped writer, for http.ResponseController.
 func (w *clientWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// chargeRecorded charges an answer that waits until those ahead of it are written.
+// chargeRecorded charges an answer that waits until those ahead of it are written. It closes the
+// connection if there is no room: of a client that sends requests ahead any number of answers may wait,
+// and it isn't evicted while one of its requests is served.
 func chargeRecorded(ctx context.Context, size int) (release func()) {
 	c, ok := ctx.Value(clientKey{}).(*clientConn)
 	if !ok {
 		return func() {}
 	}
-	c.client.Charge(time.Now(), int64(size))
+	if !c.client.Reserve(time.Now(), int64(size)) {
+		_ = c.Close()
+		return func() {}
+	}
 	return func() { c.client.Release(int64(size)) }
 }
 
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -239,4 +239,3 @@
 		}
 	}
 }
-
