budget: connections of other daemons take no place of clients

Reckoned, not seen: each daemon of a fleet may hold a connection to each other one. At 6,572 daemons these would be more than all connections of the account (2,925) and more than its memory (105 of 57 MB), so that neither clients nor further daemons had room. A client that is kept no longer counts; what is charged for its frames does. TestKeptClients failed before.

--- a/budget/account.go
+++ b/budget/account.go
@@ -43,8 +43,9 @@
 	memory     int64
 	maxClients int
 
-	mu      sync.Mutex
-	used    int64
+	mu   sync.Mutex
+	used int64
+	// clients are those that are not kept.
 	clients map[*Client]struct{}
 	evicted uint64
 	refused uint64
@@ -138,7 +139,7 @@
 	}
 	all := make([]ranked, 0, len(a.clients))
 	for c := range a.clients {
-		if c != other && c.serving == 0 && !c.kept {
+		if c != other && c.serving == 0 {
 			all = append(all, ranked{c, rank(c)})
 		}
 	}
@@ -179,9 +180,6 @@
 
 // drop removes a client. The caller holds the lock.
 func (a *Account) drop(c *Client) {
-	if _, ok := a.clients[c]; !ok {
-		return
-	}
 	delete(a.clients, c)
 	a.used -= c.held
 	c.held, c.gone = 0, true
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -135,15 +135,35 @@
 	}
 }
 
-// TestKeptClients checks that a client that is kept is not evicted.
+// TestKeptClients checks that clients that are kept are not evicted, take no place of others, however many
+// they are, and return what is charged to them.
 func TestKeptClients(t *testing.T) {
-	p := newParty(2, 100*budget.ClientCost)
-	p.open(0, "kept")
-	p.clients["kept"].Keep()
+	const kept = 500
+	p := newParty(2, 10*budget.ClientCost)
+	for i := range kept {
+		name := fmt.Sprint("kept-", i)
+		if !p.open(i, name) {
+			t.Fatalf("%s has no room", name)
+		}
+		p.clients[name].Keep()
+		p.clients[name].Keep()
+	}
+	p.clients["kept-0"].Charge(at(kept), budget.ClientCost)
 	for i := range 5 {
-		p.open(i+1, fmt.Sprint(i))
+		if !p.open(kept+i, fmt.Sprint(i)) {
+			t.Fatalf("client %d has no room", i)
+		}
+	}
+	if want := []string{"0", "1", "2"}; !slices.Equal(p.evicted, want) {
+		t.Errorf("evicted %v, want %v", p.evicted, want)
 	}
-	if slices.Contains(p.evicted, "kept") || len(p.evicted) != 4 {
-		t.Errorf("evicted %v", p.evicted)
+	if used := p.account.Stats().Used; used != 3*budget.ClientCost {
+		t.Errorf("%d bytes used", used)
+	}
+	for _, c := range p.clients {
+		c.Close()
+	}
+	if s := p.account.Stats(); s.Used != 0 || s.Clients != 0 {
+		t.Errorf("at the end: %+v", s)
 	}
 }
--- a/budget/client.go
+++ b/budget/client.go
@@ -16,9 +16,7 @@
 	// for the client, since the time in since.
 	serving int
 	since   time.Time
-	// kept is true for a client that is never evicted.
-	kept bool
-	gone bool
+	gone    bool
 }
 
 // Reserve charges memory to the client, in bytes. It reports false if there is no room, or if the
@@ -98,14 +96,21 @@
 	}
 }
 
-// Keep makes the client one that is never evicted.
+// Keep makes the client one that is never evicted, and that no longer counts as a connection. What is
+// charged to it later counts.
 func (c *Client) Keep() {
 	if c == nil {
 		return
 	}
-	c.account.mu.Lock()
-	defer c.account.mu.Unlock()
-	c.kept = true
+	a := c.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.clients[c]; !ok {
+		return
+	}
+	delete(a.clients, c)
+	a.used -= ClientCost
+	c.held -= ClientCost
 }
 
 // Close removes the client and returns all that is charged to it.
