--- a/daemon/incarnation.go
+++ b/daemon/incarnation.go
@@ -331,7 +331,10 @@
 
 func (i *incarnation) listRowsOnce(ctx context.Context) ([]wire.Row, error) {
 	var out []wire.Row
-	prefixes := []string{suspectPrefix, routes.MemberPrefix, routes.SlotsPrefix}
+	prefixes := []string{routes.MemberPrefix, routes.SlotsPrefix}
+	if !i.d.suspects.loaded.Load() {
+		prefixes = append(prefixes, suspectPrefix)
+	}
 	if i.d.protocols.WatchConfig == nil {
 		prefixes = append(prefixes, routes.ConfigKey)
 	}
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -49,6 +49,9 @@
 	targetLife atomic.Uint64
 	ended      atomic.Bool
 	store      *suspectStore
+	// loaded is true once the rows of suspects were read from the platform. Later ones come from other
+	// daemons.
+	loaded atomic.Bool
 }
 
 func newSuspects() *suspects {
--- a/daemon/suspectstore.go
+++ b/daemon/suspectstore.go
@@ -192,6 +192,7 @@
 		read = append(read, s)
 	}
 	d.logSuspects(d.suspects.ledger.Merge(now, read))
+	d.suspects.loaded.Store(true)
 	stored := d.suspects.store
 	stored.mu.Lock()
 	defer stored.mu.Unlock()
