http1, targethttp: an answer with a malformed field name is no answer

What callers saw: a target's answer in whose head the name of a field held or ended in a blank passed as a 200, and its body was framed by the other lines: "Content-Length : 2" or "Transfer-Encoding : chunked" was passed over. A refusal with such a line was believed, so that an unsafe request ran at a second target, and a rate limit or a leaving beside it was taken over. A line that begins with a blank was joined to the line before it.

Cause: heads are parsed by net/http, which keeps names with blanks as they are and joins folded lines (textproto.canonicalMIMEHeaderKey, readContinuedLineSlice). A parsed head no longer shows this, and by then the body is framed and the connection may be in the pool again, so a check of http.Response comes too late.

Change: package http1 checks the bytes of the connection against the grammar of RFC 9112, from the first byte of each answer to the end of its head, interim answers included. A malformed head ends the read with ErrHead before net/http sees the end of the head, so that nothing of it is used and net/http closes the connection. The target's client is told the error also where net/http tries to replay the request. All that the client reads goes through it: answers, health, load, replies to grants.

--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/buffer"
+	"fulmarrun/http1"
 	"fulmarrun/tcp"
 	"fulmarrun/wire"
 )
@@ -150,7 +151,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target: %w", err)
 	}
-	return &conn{Conn: nc}, nil
+	return &conn{Conn: http1.NewConn(nc)}, nil
 }
 
 // SetDestination sends later requests to next. It closes idle connections if the
@@ -298,6 +299,10 @@
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		cancel(nil)
+		// net/http may replace the error while it tries to replay the request.
+		if headErr := a.headError(); headErr != nil {
+			err = headErr
+		}
 		return nil, fmt.Errorf("round trip: %w", err)
 	}
 	resp.Body = &body{ReadCloser: resp.Body, cancel: cancel}
--- a/targethttp/conn.go
+++ b/targethttp/conn.go
@@ -1,11 +1,12 @@
 package targethttp
 
 import (
-	"net"
 	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"fulmarrun/http1"
 )
 
 var (
@@ -42,6 +43,8 @@
 	// crossed is true if the answer starts with bytes that arrived before the request
 	// was written.
 	crossed bool
+	// headErr is the error of an answer with a malformed head.
+	headErr error
 }
 
 // assignConn notes that the transport assigned c to the request. It reports false for
@@ -122,6 +125,20 @@
 	return a.crossed
 }
 
+// noteHeadError notes that the head of the answer is malformed.
+func (a *attempt) noteHeadError(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.headErr = err
+}
+
+// headError returns the error of an answer with a malformed head; nil if there was none.
+func (a *attempt) headError() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.headErr
+}
+
 // closeConn closes the connection, whose answers no longer match its requests.
 func (a *attempt) closeConn() {
 	a.mu.Lock()
@@ -145,7 +162,7 @@
 
 // conn is a connection whose writes belong to one attempt at a time.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	mu      sync.Mutex
 	attempt *attempt
 	// refused are the IDs of the requests that the target refused on the connection.
@@ -169,6 +186,7 @@
 
 // setAttempt makes a the attempt that may write to the connection.
 func (c *conn) setAttempt(a *attempt) {
+	c.ExpectAnswer()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempt = a
@@ -184,6 +202,9 @@
 	if n > 0 && (a == nil || !a.noteReceived()) {
 		return 0, errEarlyData
 	}
+	if a != nil && errors.Is(err, http1.ErrHead) {
+		a.noteHeadError(err)
+	}
 	return n, err
 }
 
--- a/targethttp/doc.go
+++ b/targethttp/doc.go
@@ -18,6 +18,8 @@
 // keyed, Fulmar-Slot, Fulmar-Epoch and Fulmar-Generation. Hop-by-hop headers
 // and trailers are dropped in both directions. A target may repeat Idempotency-Key
 // in its answer; an answer with the ID of another request is not passed on.
+// Nothing is used of an answer with a malformed head: package http1 rejects it
+// before net/http parses it.
 //
 // # Usage
 //
