http1: an answer with a status that HTTP does not allow is no answer

What callers saw: a target's answer with status 000 (or 099, +20, 600 and the like) got its caller 502, but what else it said was believed. Beside "not executed" it became 503, the promise that nothing ran, and an unsafe request then ran at a second target. A rate limit or a leaving in it counted. So did a 101 that no request asks for.

Cause: net/http takes any three characters that strconv.Atoi reads as not negative for a status. The caller's daemon checked the range, long after the target's daemon had read the refusal and the statements.

Change: the check of heads wants a status line with three digits of 100 to 599, not 101. The branch for 101 in targethttp is gone, since none arrives; its case in TestOutcomes stays unknown, with the reason of a lost answer.

Ruled out: treating 600 to 999 as 5xx, as RFC 9110 advises clients: a router would pass on, or take a refusal from, a status that no HTTP server sends.

--- a/http1/conn_test.go
+++ b/http1/conn_test.go
@@ -51,6 +51,25 @@
 		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + status + "\r\n B", false},
 		{"end in a head", status + "A", false},
 		{"nothing", "", false},
+		{"least status", "HTTP/1.1 200 OK\r\n\r\n", false},
+		{"greatest status", "HTTP/1.1 599 \r\n\r\n", false},
+		{"greatest status of an interim answer", "HTTP/1.1 199 \r\n\r\n" + status + "\r\n", false},
+		{"status of a bare line", "HTTP/1.0 404\n\n", false},
+		{"status 000", "HTTP/1.1 000 OK\r\n\r\n", true},
+		{"status 099", "HTTP/1.1 099 OK\r\n\r\n", true},
+		{"status 101", "HTTP/1.1 101 OK\r\n\r\n", true},
+		{"status 600", "HTTP/1.1 600 OK\r\n\r\n", true},
+		{"status with a sign", "HTTP/1.1 +20 OK\r\n\r\n", true},
+		{"status of two digits", "HTTP/1.1 20 OK\r\n\r\n", true},
+		{"status of four digits", "HTTP/1.1 2000 OK\r\n\r\n", true},
+		{"status with a letter", "HTTP/1.1 2x0 OK\r\n\r\n", true},
+		{"status with a tab behind it", "HTTP/1.1 200\tOK\r\n\r\n", true},
+		{"no status", "HTTP/1.1\r\n\r\n", true},
+		{"empty status", "HTTP/1.1 \r\n\r\n", true},
+		{"two blanks ahead of a status", "HTTP/1.1  200 OK\r\n\r\n", true},
+		{"no version", "200 OK\r\n\r\n", true},
+		{"empty line ahead of an answer", "\r\nHTTP/1.1 200 OK\r\n\r\n", true},
+		{"status 000 behind an interim answer", "HTTP/1.1 103 OK\r\n\r\nHTTP/1.1 000 OK\r\n\r\n", true},
 		{"blank before a colon", status + "A : b\r\n\r\n", true},
 		{"tab before a colon", status + "A\t: b\r\n\r\n", true},
 		{"blank in a name", status + "A B: b\r\n\r\n", true},
@@ -108,11 +127,12 @@
 }
 
 // FuzzHead checks that what a Conn rejects does not depend on how it arrives, and that net/http
-// reads only valid field names behind a Conn.
+// reads only valid statuses and field names behind a Conn.
 func FuzzHead(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\nA : b\n\n", "HTTP/1.1 200\r\n: \r\n\r\n",
 		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
+		"HTTP/1.1 000\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n",
 	} {
 		f.Add(text)
 	}
@@ -126,6 +146,9 @@
 		if err != nil {
 			return
 		}
+		if resp.StatusCode < 100 || resp.StatusCode > 599 || resp.StatusCode == http.StatusSwitchingProtocols {
+			t.Errorf("status %q passed", resp.Status)
+		}
 		for name := range resp.Header {
 			if !httpguts.ValidHeaderFieldName(name) {
 				t.Errorf("field name %q passed", name)
--- a/http1/doc.go
+++ b/http1/doc.go
@@ -1,5 +1,7 @@
 // Package http1 checks the heads of HTTP/1.x answers before net/http parses them. It rejects what
-// net/http accepts: field names with blanks, folded lines, lines without a field name.
+// net/http accepts: field names with blanks, folded lines, lines without a field name, and statuses
+// other than 100 to 599. It also rejects status 101, which answers a request that these clients
+// never send.
 //
 // The check is on the bytes of the connection, since a parsed head no longer shows how it was
 // written, and net/http has framed the body and may have put the connection back into its pool
--- a/http1/head.go
+++ b/http1/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -28,11 +29,14 @@
 	inBody
 )
 
-// interimLeader is the first digit of the status of an interim answer, which another one follows.
-const interimLeader = '1'
-
-// statusOffset is the offset of the status in the first line, in bytes.
-const statusOffset = len("HTTP/1.1 ")
+const (
+	// versionForm is the form of a status line up to the status; digits stand for any digit.
+	versionForm = "HTTP/1.1 "
+	// statusEnd is the offset of the byte behind the status in its line, in bytes.
+	statusEnd = len(versionForm) + 3
+	// maxStatus is the greatest status that HTTP defines a class for.
+	maxStatus = 599
+)
 
 // head checks the head of an answer and those of the interim answers before it. The zero value
 // expects the first byte of an answer.
@@ -40,8 +44,8 @@
 	state headState
 	// line is the number of complete lines and column the number of bytes of the current one.
 	line, column int
-	// interim is true for the head of an interim answer.
-	interim bool
+	// status is the status of the answer, or its digits that have arrived.
+	status int
 }
 
 // check checks the next bytes of the connection; those behind the head are ignored.
@@ -59,6 +63,11 @@
 
 // next checks one byte.
 func (h *head) next(b byte) error {
+	if h.state == inStatusLine && h.column <= statusEnd {
+		if err := h.nextOfStatus(b); err != nil {
+			return err
+		}
+	}
 	switch {
 	case h.state == atLineEnd || h.state == atHeadEnd:
 		if b != '\n' {
@@ -81,14 +90,38 @@
 	case b < ' ' && b != '\t' || b == 0x7f:
 		return fmt.Errorf("control byte %q", b)
 	default:
-		if h.state == inStatusLine && h.column == statusOffset {
-			h.interim = b == interimLeader
-		}
 		h.advance(h.state)
 	}
 	return nil
 }
 
+// nextOfStatus checks one byte of a status line, up to the one behind the status.
+func (h *head) nextOfStatus(b byte) error {
+	switch {
+	case h.column < len(versionForm):
+		if form := versionForm[h.column]; b != form && (!isDigit(form) || !isDigit(b)) {
+			return fmt.Errorf("byte %q in place of %q", b, versionForm)
+		}
+	case h.column < statusEnd:
+		if !isDigit(b) {
+			return fmt.Errorf("byte %q in a status", b)
+		}
+		h.status = 10*h.status + int(b-'0')
+	case b != ' ' && b != '\r' && b != '\n':
+		return fmt.Errorf("byte %q behind status %03d", b, h.status)
+	case !validStatus(h.status):
+		return fmt.Errorf("status %03d", h.status)
+	}
+	return nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// validStatus reports whether an answer may have a status. No request asks for another protocol.
+func validStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // advance records a byte within a line.
 func (h *head) advance(state headState) {
 	h.state = state
@@ -100,8 +133,8 @@
 	switch {
 	case h.state != atLineStart && h.state != atHeadEnd:
 		h.state = atLineStart
-	case h.interim:
-		h.state = inStatusLine
+	case h.status < http.StatusOK:
+		h.state, h.status = inStatusLine, 0
 	default:
 		h.state = inBody
 	}
--- a/targethttp/broken_test.go
+++ b/targethttp/broken_test.go
@@ -18,6 +18,8 @@
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 7\r\n\r\n2\r\n{}\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n X-Odd: 1\r\n\r\n{}",
 	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-O\tdd: 1\r\n\r\n{}",
+	"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 700 Ill\r\nContent-Length: 2\r\n\r\n{}",
 }
 
 // newReporter returns a client of a target that answers the request for a path with the text, and
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -372,9 +372,6 @@
 // readWhole reads a body up to the end that its framing declares, or up to the
 // regular end of the connection if the dialect allows a body without framing.
 func (c *Client) readWhole(ctx context.Context, resp *http.Response, method string, limit int64) ([]byte, error) {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return nil, errUnframed
-	}
 	if method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
 		return nil, nil
 	}
--- a/targethttp/client_test.go
+++ b/targethttp/client_test.go
@@ -95,7 +95,7 @@
 	{"cut in chunk", answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nok"), wire.OutcomeUnknown, targethttp.ReasonCut},
 	{"cut before last chunk", answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), wire.OutcomeUnknown, targethttp.ReasonCut},
 	{"no length", answerWith("HTTP/1.1 200 OK\r\n\r\nok"), wire.OutcomeUnknown, targethttp.ReasonCut},
-	{"upgrade", answerWith("HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"), wire.OutcomeUnknown, targethttp.ReasonCut},
+	{"upgrade", answerWith("HTTP/1.1 101 Go\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"), wire.OutcomeUnknown, targethttp.ReasonLost},
 	{"over the limit", answerWith("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65)), wire.OutcomeUnknown, targethttp.ReasonSize},
 	{"chunks over the limit", answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n"), wire.OutcomeUnknown, targethttp.ReasonSize},
 	{"header cut", answerWith("HTTP/1.1 200 OK\r\nContent-Le"), wire.OutcomeUnknown, targethttp.ReasonLost},
