targethttp: a request with a malformed answer is not counted as lost with its target

What callers saw: a request that a target answered with a control byte in a field name, shortly before each of three processes of that target ended under other requests, was shut out (503) as one that crashes targets. It had crashed none.

Cause: such an answer ended as "lost", as if its connection had broken, and a lost request is blamed if the process of its target is found to have ended.

Change: the outcome stays unknown, with the reason "head" of its own. Daemons count only "lost" and "cut" as lost with a target; it is neither blamed nor cleared, and the target is not checked for an end. The logs show the reason.

Ruled out: counting it as an answer, which would clear a request that did crash targets before.

--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -220,7 +220,7 @@
 			return c.readAnswer(ctx, r, d, resp, a, sentAt)
 		}
 		if c.sealed(a) {
-			return c.unknown(ctx, ReasonLost, err)
+			return c.unknown(ctx, lossReason(err), err)
 		}
 		if a.checkErr != nil {
 			return c.notRun(ReasonLease, a.checkErr)
@@ -234,6 +234,14 @@
 	}
 }
 
+// lossReason returns the reason for a request that was written and got no answer.
+func lossReason(err error) string {
+	if errors.Is(err, http1.ErrHead) {
+		return ReasonHead
+	}
+	return ReasonLost
+}
+
 func (c *Client) newRequest(ctx context.Context, r *wire.Request, f Fence, d Destination, u *url.URL) *http.Request {
 	h := requestHeader(r.Headers, c.dialect.IsReserved)
 	remaining, hasDeadline := timeLeft(ctx, r)
--- a/targethttp/reason.go
+++ b/targethttp/reason.go
@@ -19,6 +19,8 @@
 	ReasonShed = "shed"
 	// ReasonLost means that the connection broke before the answer began.
 	ReasonLost = "lost"
+	// ReasonHead means that the head of the answer is malformed, so that nothing of it counts.
+	ReasonHead = "head"
 	// ReasonCut means that the answer ended early or declared no length.
 	ReasonCut = "cut"
 	// ReasonCrossed means that the answer belongs to another request.
