storage, http1: an answer of the store with a malformed head is no answer

What happened: an answer of the store whose status was 000, or whose head had a blank in the name of a field, was taken for one. Status 000 rejected a transaction that may have been applied, 412 with such a line told of a conflict, 200 of rows whose length another line had set, and Store-Era in such a head would have begun a new timeline.

Cause: as at the targets, net/http's reading of heads.

Change: http1.Transport puts the check of heads under a http.Transport; all calls to the platform go through one. Such an answer is ErrUnavailable: the call may have been done, as after a lost answer, and its connection is closed.

--- a/http1/doc.go
+++ b/http1/doc.go
@@ -10,6 +10,9 @@
 //
 // # Usage
 //
+//	client := http.Client{Transport: http1.NewTransport(&http.Transport{})}
+//	resp, err := client.Do(req) // errors.Is(err, http1.ErrHead)
+//
 // For a transport whose connections the caller dials and tracks itself:
 //
 //	conn := http1.NewConn(tcpConn)
--- a/storage/exchange.go
+++ b/storage/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"fulmarrun/buffer"
+	"fulmarrun/http1"
 	"fulmarrun/tcp"
 )
 
@@ -37,14 +38,14 @@
 // NewExchange returns an Exchange with the platform at base.
 func NewExchange(base netip.AddrPort) *Exchange {
 	return &Exchange{base: base, pool: buffer.NewPool(buffer.DefaultCapacity), http: &http.Client{
-		Transport: &http.Transport{
+		Transport: http1.NewTransport(&http.Transport{
 			DialContext:            tcp.NewDialer(dialTimeout).DialContext,
 			MaxConnsPerHost:        maxConnections,
 			MaxIdleConnsPerHost:    maxConnections,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -57,7 +58,7 @@
 }
 
 // Do sends one request and returns the whole response. It returns ErrUnavailable if
-// the exchange is not completed. An empty contentType sets no header.
+// the exchange is not completed, or if the head of the response is malformed. An empty contentType sets no header.
 func (e *Exchange) Do(ctx context.Context, method, path string, query url.Values, contentType string, body []byte) (Reply, error) {
 	target := url.URL{Scheme: "http", Host: e.base.String(), Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
