operator: an answer of a daemon with a malformed head is no answer

What operators saw: an answer with a blank in the name of a field was taken for one by the operators' commands, "applied" and "leaves" included; status 000 became an error without a text, which did not say that the file may be in force.

Cause: as at the targets, net/http's reading of heads.

Change: the commands' client checks heads by http1.Transport. Such an answer is ErrUnreachable: what was asked for may have been done.

--- a/operator/client.go
+++ b/operator/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"fulmarrun/http1"
 	"fulmarrun/storage"
 )
 
@@ -40,7 +41,7 @@
 
 // NewClient returns a Client for the daemon with the operator address addr.
 func NewClient(addr netip.AddrPort, opts ...ClientOption) *Client {
-	c := &Client{addr: addr, timeout: DefaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	c := &Client{addr: addr, timeout: DefaultTimeout, http: &http.Client{Transport: http1.NewTransport(&http.Transport{})}}
 	for _, opt := range opts {
 		opt(c)
 	}
