buffer: a message over its limit is not joined

What happened: while the store answered without end, a daemon grew from 20 MB to 102 MB: bounded, but by 18 MB more than the tests of endless answers allow. Bodies of 16 MB are the limit there.

Cause: a message over the limit was read into segments up to one byte over it, and those were joined into a second copy, whose length was then refused.

Ruled out: a lower limit for bodies of the store (objects may have 8 MiB, and the file of an operator 16 MiB).

--- a/buffer/pool.go
+++ b/buffer/pool.go
@@ -67,13 +67,11 @@
 		return nil, fmt.Errorf("wait for capacity of %d bytes: %w", reserved, err)
 	}
 	defer p.available.Release(reserved)
-	rest, err := p.readSegments(r, declared-int64(len(head)), limit-int64(len(head))+1)
+	left := limit - int64(len(head))
+	rest, err := p.readSegments(&boundedReader{r: r, left: left}, declared-int64(len(head)), left+1)
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(head)+len(rest)) > limit {
-		return nil, ErrTooLong
-	}
 	return append(head, rest...), nil
 }
 
