--- a/targethttp/endless_test.go
+++ b/targethttp/endless_test.go
@@ -42,20 +42,17 @@
 	}
 }
 
-// send writes the answer until a write fails.
-func (e endlessAnswer) send(c net.Conn) {
+// send writes the answer until a write fails, and returns the number of bytes written.
+func (e endlessAnswer) send(w io.Writer) (total int) {
 	repeated := e.repeated
 	for len(repeated) < 4<<10 {
 		repeated += e.repeated
 	}
-	if _, err := io.WriteString(c, e.prefix); err != nil {
-		return
-	}
-	for {
-		if _, err := io.WriteString(c, repeated); err != nil {
-			return
-		}
+	total, err := io.WriteString(w, e.prefix)
+	for n := 0; err == nil; total += n {
+		n, err = io.WriteString(w, repeated)
 	}
+	return total
 }
 
 // TestEndlessAnswers checks that the client stops reading an endless answer as soon as a
@@ -111,3 +108,39 @@
 		client.Close()
 	}
 }
+
+// maxReportBytes is how much of an endless report a client may take before it closes the
+// connection: what it reads at most, and what the buffers of the sockets hold.
+const maxReportBytes = 8 << 20
+
+// TestEndlessReports checks that the client stops reading a health report, a report of load or a
+// reply to a grant that does not end.
+func TestEndlessReports(t *testing.T) {
+	for _, e := range endlessAnswers() {
+		t.Run(e.name, func(t *testing.T) {
+			taken := make(chan int, 2)
+			address := listen(t, func(_ int, c net.Conn) {
+				total := 0
+				if readRequest(c) {
+					_ = c.SetWriteDeadline(time.Now().Add(time.Minute))
+					total = e.send(c)
+				}
+				taken <- total
+			})
+			client := targethttp.NewClient()
+			defer client.Close()
+			client.SetDestination(targethttp.Destination{Address: address, ChecksFences: true})
+			if status, err := client.Status(t.Context()); err == nil {
+				t.Errorf("health: got %+v", status)
+			}
+			if reply, err := client.PushGrant(t.Context(), targethttp.Grant{}); err == nil {
+				t.Errorf("grant: got %+v", reply)
+			}
+			for range 2 {
+				if n := <-taken; n > maxReportBytes {
+					t.Errorf("more than %d bytes were read", maxReportBytes)
+				}
+			}
+		})
+	}
+}
