--- a/targethttp/fuzz_test.go
+++ b/targethttp/fuzz_test.go
@@ -9,12 +9,15 @@
 	"sync/atomic"
 	"testing"
 
+	"golang.org/x/net/http/httpguts"
+
 	"fulmarrun/targethttp"
 	"fulmarrun/wire"
 )
 
 // FuzzAnswer answers a request with arbitrary bytes and closes the connection. The client
-// must pass on exactly what net/http reads there: the complete first final answer.
+// must pass on exactly what net/http reads there: the complete first final answer, with a status and
+// field names that HTTP allows.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(okAnswer))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + okAnswer + okAnswer))
@@ -22,6 +25,8 @@
 	f.Add([]byte("HTTP/1.1 204 No\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.0 200 OK\r\nIdempotency-Key: other\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 000 No\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\nok"))
 	var text atomic.Pointer[[]byte]
 	address := listen(f, func(_ int, c net.Conn) {
 		if readRequest(c) {
@@ -47,6 +52,14 @@
 		if !ok || status != int(resp.Status) || !bytes.Equal(body, resp.Body) {
 			t.Fatalf("answer %q was passed on as status %d, body %q", data, resp.Status, resp.Body)
 		}
+		if status < 200 || status > 599 {
+			t.Fatalf("status %d was passed on", status)
+		}
+		for _, h := range resp.Headers {
+			if !httpguts.ValidHeaderFieldName(h.Name) {
+				t.Fatalf("field name %q was passed on", h.Name)
+			}
+		}
 	})
 }
 
