--- a/storage/exchange.go
+++ b/storage/exchange.go
@@ -58,7 +58,8 @@
 }
 
 // Do sends one request and returns the whole response. It returns ErrUnavailable if
-// the exchange is not completed, or if the head of the response is malformed. An empty contentType sets no header.
+// the exchange is not completed, or if the head of the response is malformed. An empty
+// contentType sets no header.
 func (e *Exchange) Do(ctx context.Context, method, path string, query url.Values, contentType string, body []byte) (Reply, error) {
 	target := url.URL{Scheme: "http", Host: e.base.String(), Path: path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
