--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -4,11 +4,16 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 )
 
+// answerTimeout is how long a client waits for an answer.
+const answerTimeout = 3 * time.Second
+
 // answer is what a client got for one request.
 type answer struct {
 	status int
@@ -26,6 +31,26 @@
 	return out + "\r\n"
 }
 
+// send sends a request on a connection of its own, ends the sending side if so told, and reads the
+// answer.
+func send(to netip.AddrPort, method, request string, end bool) answer {
+	conn, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(to))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
+	if _, err := io.WriteString(conn, request); err != nil {
+		return answer{err: err}
+	}
+	if end {
+		if err := conn.CloseWrite(); err != nil {
+			return answer{err: err}
+		}
+	}
+	return readAnswer(bufio.NewReader(conn), method)
+}
+
 func readAnswer(from *bufio.Reader, method string) answer {
 	resp, err := http.ReadResponse(from, &http.Request{Method: method})
 	if err != nil {
--- a/review/standin-2/half.go
+++ b/review/standin-2/half.go
@@ -1,20 +1,14 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/netip"
 	"time"
 )
 
 const (
 	halfRequests = 20
 	halfInterval = 250 * time.Millisecond
-	// answerTimeout is how long a client waits for an answer.
-	answerTimeout = 3 * time.Second
 )
 
 // half sends requests of clients that end their sending side after the request and still read,
@@ -29,9 +23,9 @@
 			method, path, fields = "GET", "/crews/1", nil
 		}
 		id := fmt.Sprintf("half-%d", i)
-		a := sendHalf(to, method, head(method, path, id, time.Second, fields...), trouble)
+		a := send(to, method, head(method, path, id, time.Second, fields...), trouble)
 		wait(ctx, halfInterval)
-		g.note("%s %s, id %s -> %s; run %d times", method, path, id, a, g.runsOf(id))
+		g.note("%s %s, id %s -> %s; run %d times", method, path, id, a, len(g.targetsOf(id)))
 		if a.success() {
 			served++
 		}
@@ -48,23 +42,3 @@
 	}
 	return nil
 }
-
-// sendHalf sends a request on a connection of its own, ends the sending side if so told, and
-// reads the answer.
-func sendHalf(to netip.AddrPort, method, request string, end bool) answer {
-	conn, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(to))
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := io.WriteString(conn, request); err != nil {
-		return answer{err: err}
-	}
-	if end {
-		if err := conn.CloseWrite(); err != nil {
-			return answer{err: err}
-		}
-	}
-	return readAnswer(bufio.NewReader(conn), method)
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,7 +5,7 @@
 //
 //	standin-2 CASE RECORD
 //
-// CASE is forged, half or crowd; RECORD is the file that gets what was sent, answered and run. The
+// CASE is forged, half, crowd or paths; RECORD is the file that gets what was sent, answered and run. The
 // disruption is left out if TROUBLE is 0. The command exits with 1 if the rule was broken, 0 if it
 // held and 2 if the case couldn't run.
 package main
@@ -38,10 +38,10 @@
 
 func runCase(args []string) int {
 	cases := map[string]func(ctx context.Context, g *rig, trouble bool) error{
-		"forged": forged, "half": half, "crowd": crowded,
+		"forged": forged, "half": half, "crowd": crowded, "paths": paths,
 	}
 	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 forged|half|crowd RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin-2 forged|half|crowd|paths RECORD")
 		return exitUnable
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -83,17 +83,17 @@
 	g.runs = append(g.runs, r)
 }
 
-// runsOf returns how often a request has run.
-func (g *rig) runsOf(id string) int {
+// targetsOf returns the path and query of each run of a request.
+func (g *rig) targetsOf(id string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
+	var out []string
 	for _, r := range g.runs {
 		if r.id == id {
-			n++
+			out = append(out, r.target)
 		}
 	}
-	return n
+	return out
 }
 
 // startAll starts a small deployment and waits until all daemons are ready.
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -33,7 +33,7 @@
 }
 
 // run is one arrival of a request at an upstream.
-type run struct{ id, upstream string }
+type run struct{ id, upstream, target string }
 
 // upstream is a stand-in for an application server. It sends heartbeats to the daemon beside it,
 // holds keys as told, and answers requests.
@@ -233,7 +233,7 @@
 		defer u.mu.Unlock()
 		u.running--
 	}()
-	u.rig.ran(run{id: id, upstream: name})
+	u.rig.ran(run{id: id, upstream: name, target: r.RequestURI})
 	select {
 	case <-time.After(workTime):
 	case <-r.Context().Done():
