--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-2 plays a case of the second review: it starts daemons with the command of the
 // deploy file, plays the platform, the upstreams and the clients, and checks the rule.
 //
