--- a/operator/broken_test.go
+++ b/operator/broken_test.go
@@ -16,6 +16,23 @@
 // newRawClient returns a client of a daemon that reads a request on each connection and then lets
 // the function answer.
 func newRawClient(t *testing.T, answer func(net.Conn)) *operator.Client {
+	t.Helper()
+	return newClientOf(t, func(conn net.Conn, body io.Reader) {
+		if _, err := io.Copy(io.Discard, body); err == nil {
+			answer(conn)
+		}
+	})
+}
+
+// newUnreadClient is like newRawClient, with a daemon that reads only the head of a request.
+func newUnreadClient(t *testing.T, answer func(net.Conn)) *operator.Client {
+	t.Helper()
+	return newClientOf(t, func(conn net.Conn, _ io.Reader) { answer(conn) })
+}
+
+// newClientOf returns a client of a daemon that serves the first request on each connection by the
+// function.
+func newClientOf(t *testing.T, serve func(conn net.Conn, body io.Reader)) *operator.Client {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,12 +47,8 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err == nil {
-					answer(conn)
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(conn, r.Body)
 				}
 			}()
 		}
