--- a/http1/aborted_test.go
+++ b/http1/aborted_test.go
@@ -5,10 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -212,15 +212,14 @@
 	}
 }
 
-// timedOutConn is a connection whose write receives an error, after which reads find its end.
-type timedOutConn struct {
+// failedConn is a connection whose write receives an error, after which reads find its end.
+type failedConn struct {
 	net.Conn
 	err error
 }
 
-func (c timedOutConn) Write([]byte) (int, error)      { return 0, c.err }
-func (timedOutConn) Read([]byte) (int, error)         { return 0, io.EOF }
-func (timedOutConn) SetWriteDeadline(time.Time) error { return nil }
+func (c failedConn) Write([]byte) (int, error) { return 0, c.err }
+func (failedConn) Read([]byte) (int, error)    { return 0, io.EOF }
 
 // TestErrorsOfWrites checks which errors of a write show that a connection was aborted.
 func TestErrorsOfWrites(t *testing.T) {
@@ -236,8 +235,9 @@
 		{"wrapped", &net.OpError{Op: "write", Err: syscall.ECONNRESET}, http1.ErrAborted},
 		{"reset behind a regular close", &net.OpError{Op: "write", Err: syscall.EPIPE}, io.EOF},
 		{"closed on this side", net.ErrClosed, io.EOF},
+		{"deadline", os.ErrDeadlineExceeded, io.EOF},
 	} {
-		conn := http1.NewConn(timedOutConn{err: tc.err})
+		conn := http1.NewConn(failedConn{err: tc.err})
 		_, _ = conn.Write([]byte("request"))
 		for range 2 {
 			if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, tc.want) {
