--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,7 @@
 	registry metrics.Registry
 	// admission, control, owner, forward, quota and hotKeyOptions are passed to the components.
 	admission     []admission.Option
+	targetClient  []targethttp.Option
 	control       []control.Option
 	owner         []owner.Option
 	forward       []forward.Option
@@ -198,8 +199,8 @@
 	d.gate = admission.NewGate(d.admission...)
 	d.hotKeyDetector = handover.NewHotKeys(d.hotKeyOptions...)
 	d.server = owner.NewServer(d.gate, d.units, d.hotKeyDetector, d.owner...)
-	d.client = targethttp.NewClient(append(clientOptions,
-		targethttp.WithSendCheck(d.checkSend), targethttp.WithConditionObserver(d.observeCondition))...)
+	clientOptions = append(clientOptions, targethttp.WithSendCheck(d.checkSend), targethttp.WithConditionObserver(d.observeCondition))
+	d.client = targethttp.NewClient(append(clientOptions, d.targetClient...)...)
 	d.server.SetClient(d.client)
 	// The target is idle until it is known to take work.
 	d.server.RefuseUnkeyed(d.fetchedGrants != nil)
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -10,6 +10,7 @@
 	"fulmarrun/handover"
 	"fulmarrun/owner"
 	"fulmarrun/quota"
+	"fulmarrun/targethttp"
 )
 
 // Option configures a Daemon.
@@ -31,6 +32,11 @@
 	return func(d *Daemon) { d.admission = append(d.admission, opts...) }
 }
 
+// WithTargetClient is a functional option that passes options to the client of the target.
+func WithTargetClient(opts ...targethttp.Option) Option {
+	return func(d *Daemon) { d.targetClient = append(d.targetClient, opts...) }
+}
+
 // WithControl is a functional option that passes options to the control core, such as
 // the baseline plan for measurements.
 func WithControl(opts ...control.Option) Option {
--- a/targethttp/client.go
+++ b/targethttp/client.go
@@ -64,6 +64,7 @@
 type Client struct {
 	transport      *http.Transport
 	dialer         *net.Dialer
+	dialContext    func(ctx context.Context, network, address string) (net.Conn, error)
 	limit          int64
 	pool           *buffer.Pool
 	maxConnections int
@@ -104,6 +105,12 @@
 // WithDialTimeout is a functional option that bounds the time to open a connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialer.Timeout = d } }
 
+// WithDialContext is a functional option that sets the function that opens connections to the
+// target. The dial timeout does not apply to it.
+func WithDialContext(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dialContext = dial }
+}
+
 // WithRetryAfter is a functional option that sets the Retry-After of a request that
 // did not run, for instance because the target can't be reached.
 func WithRetryAfter(d time.Duration) Option { return func(c *Client) { c.retryAfter = d } }
@@ -130,7 +137,7 @@
 		sealed:  (*attempt).seal,
 		setConn: (*attempt).assignConn,
 	}
-	c.read = c.readWhole
+	c.read, c.dialContext = c.readWhole, c.dialer.DialContext
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -147,7 +154,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	nc, err := c.dialer.DialContext(ctx, network, address)
+	nc, err := c.dialContext(ctx, network, address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to target: %w", err)
 	}
